Serve a request end to end through separate processes

Chosen: one process on each VM with a listener each for callers, other VMs and operators. One VM owns the queue and slots of each pool (a service at a site), by rendezvous hashing over the members; the others forward to it. Claims of idempotency keys are inserted into the table service before dispatch. The control document is versioned by compare-and-set and spreads by push and gossip.

Ruled out: slot shares on every VM (3 or 4 slots a target do not divide by 12 VMs); separate look-up, entry and control processes (they would need shared state, and shared memory is excluded); a consensus group (not allowed).

No failure is injected yet.

--- /dev/null
+++ b/crates/control/src/document.rs
@@ -0,0 +1,91 @@
+//! Makes the next version of the control document.
+
+use {
+    crate::Rejection,
+    wire::{Change, Document, Kind},
+};
+
+/// Changes remembered by identifier, so that a repeated proposal is recognised.
+const MAX_OPS: usize = 64;
+
+/// The document in force before any operator's change.
+#[must_use]
+pub fn initial(preset: &str) -> Document {
+    Document {
+        version: 1,
+        preset: preset.to_owned(),
+        marks: Vec::new(),
+        ops: Vec::new(),
+    }
+}
+
+/// The document that follows `base` when `change` is made under the identifier `op`.
+///
+/// Marks commute, so they apply to any version. A switch names the version that
+/// the operator has seen and loses when the preset was switched after it.
+///
+/// # Errors
+/// [`Rejection::Superseded`] when another switch came first.
+pub fn apply(base: &Document, op: &str, change: &Change) -> Result<Document, Rejection> {
+    let mut next = base.clone();
+    match change {
+        Change::Preset { name, expect } => {
+            if base.version != *expect && switched_since(base, *expect) {
+                return Err(Rejection::Superseded {
+                    winner: base.preset.clone(),
+                    version: base.version,
+                });
+            }
+            next.preset.clone_from(name);
+        }
+        Change::Leaving(mark) => {
+            if !next.marks.contains(mark) {
+                next.marks.push(mark.clone());
+            }
+        }
+        Change::Back(mark) => next.marks.retain(|held| held != mark),
+    }
+    next.version += 1;
+    next.ops.push(tag(op, change));
+    if next.ops.len() > MAX_OPS {
+        next.ops.remove(0);
+    }
+    Ok(next)
+}
+
+/// Whether the change with the identifier `op` is part of the document.
+#[must_use]
+pub(crate) fn holds(document: &Document, op: &str) -> bool {
+    let suffix = format!(":{op}");
+    document.ops.iter().any(|held| held.ends_with(&suffix))
+}
+
+/// Whether a mark of the document covers a target of a service in a zone.
+#[must_use]
+pub fn is_leaving(document: &Document, service: &str, zone: &str, target: &str) -> bool {
+    document.marks.iter().any(|mark| match mark.kind {
+        Kind::Target => mark.name == target,
+        Kind::Zone => mark.name == zone,
+        Kind::ServiceZone => mark.name.split_once('/') == Some((service, zone)),
+        Kind::Vm => false,
+    })
+}
+
+/// A switch is tagged `p`, so that later switches can be told from marks.
+fn tag(op: &str, change: &Change) -> String {
+    match change {
+        Change::Preset { .. } => format!("p:{op}"),
+        Change::Leaving(_) | Change::Back(_) => format!("m:{op}"),
+    }
+}
+
+/// Whether any of the changes after version `seen` switched the preset. Changes
+/// that are no longer listed count as switches.
+fn switched_since(base: &Document, seen: u64) -> bool {
+    let since = usize::try_from(base.version.saturating_sub(seen)).unwrap_or(usize::MAX);
+    if since > base.ops.len() || seen > base.version {
+        return true;
+    }
+    let newer = &base.ops[base.ops.len() - since..];
+    newer.iter().any(|op| op.starts_with("p:"))
+}
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/entry/src/node/state.rs
@@ -0,0 +1,148 @@
+//! The part of a node that changes.
+
+use {
+    super::{Owned, PoolKey, Reports, fleet},
+    control::Replica,
+    member::View,
+    settings::Fleet,
+    std::{collections::BTreeMap, time::Duration},
+    steer::{Atlas, Budget, Quarantine},
+    wire::{Document, Kind, Map, Member},
+};
+
+/// Everything that changes while the process runs, behind one lock.
+pub(crate) struct State {
+    pub(crate) fleet: Fleet,
+    pub(crate) atlas: Atlas,
+    pub(crate) replica: Replica,
+    pub(crate) view: View,
+    pub(crate) pools: BTreeMap<PoolKey, Owned>,
+    pub(crate) reports: Reports,
+    pub(crate) quarantine: Quarantine,
+    pub(crate) budgets: Map<String, Budget>,
+    pub(crate) next_ticket: u64,
+    pub(crate) last_tick: Duration,
+    pub(crate) store_heard_at: Duration,
+    pub(crate) stopping: bool,
+    pub(crate) in_flight: u32,
+    pub(crate) report_beat: u64,
+    /// View and document for which the owners were last worked out.
+    settled: (u64, u64),
+}
+
+impl State {
+    pub(crate) fn new(fleet: Fleet, view: View) -> Self {
+        let mut state = Self {
+            atlas: Atlas::build(&fleet.clients),
+            pools: BTreeMap::new(),
+            fleet,
+            replica: Replica::default(),
+            view,
+            reports: Reports::default(),
+            quarantine: Quarantine::default(),
+            budgets: Map::default(),
+            next_ticket: 0,
+            last_tick: Duration::ZERO,
+            store_heard_at: Duration::ZERO,
+            stopping: false,
+            in_flight: 0,
+            report_beat: 0,
+            settled: (u64::MAX, u64::MAX),
+        };
+        state.pools = build_pools(&state.fleet);
+        state
+    }
+
+    /// Puts a document in force if it is newer, and says whether it was.
+    pub(crate) fn adopt(&mut self, document: &Document, now: Duration) -> bool {
+        if !self.replica.adopt(document) {
+            return false;
+        }
+        self.view.set_control(document.version);
+        self.enforce(now);
+        true
+    }
+
+    /// Applies marks and caps of the document in force to all pools.
+    fn enforce(&mut self, now: Duration) {
+        let Some(document) = self.replica.current().cloned() else {
+            return;
+        };
+        let fleet = &self.fleet;
+        for (key, owned) in &mut self.pools {
+            let limits = fleet::limits(fleet, &document, &key.service, &key.site);
+            owned.pool.set_limits(&limits);
+            for (index, target) in owned.targets.iter().enumerate() {
+                let leaving =
+                    control::is_leaving(&document, &key.service, &target.zone, &target.name);
+                owned.pool.set_leaving(index, leaving, now);
+            }
+        }
+        self.settle(now);
+    }
+
+    /// Lets the queues move, and works out who owns each pool if that may have changed.
+    pub(crate) fn settle(&mut self, now: Duration) {
+        let current = (self.view.generation(), self.replica.version());
+        if self.settled != current {
+            self.settled = current;
+            self.assign(now);
+        }
+        for owned in self.pools.values_mut() {
+            owned.pump(now);
+        }
+    }
+
+    fn assign(&mut self, now: Duration) {
+        let fleet = &self.fleet;
+        let me = self.view.me().name.clone();
+        let marked = marked_vms(self.replica.current());
+        let all = self.view.serving();
+        let unmarked = |member: &&Member| !marked.contains(&member.name.as_str());
+        let mut serving: Vec<&Member> = all.iter().copied().filter(unmarked).collect();
+        if serving.is_empty() {
+            serving = all;
+        }
+        for (key, owned) in &mut self.pools {
+            let name = steer::pool_name(&key.service, &key.site);
+            let near = |member: &Member| fleet::tier(fleet, &key.site, member);
+            let owner = member::owner(&name, &serving, near);
+            owned.set_owner(owner.map(|member| member.name.as_str()), &me, now);
+        }
+    }
+
+    /// The retry budget of a service.
+    pub(crate) fn budget(&mut self, service: &str) -> &mut Budget {
+        self.budgets.entry(service.to_owned()).or_default()
+    }
+}
+
+/// VMs that operators marked as leaving.
+pub(crate) fn marked_vms(document: Option<&Document>) -> Vec<&str> {
+    let marks = document.map(|document| document.marks.as_slice());
+    let vms = marks.unwrap_or_default().iter();
+    let vms = vms.filter(|mark| mark.kind == Kind::Vm);
+    vms.map(|mark| mark.name.as_str()).collect()
+}
+
+fn build_pools(fleet: &Fleet) -> BTreeMap<PoolKey, Owned> {
+    let mut pools = BTreeMap::new();
+    for service in &fleet.services {
+        for site in &fleet.sites {
+            let here = service
+                .targets
+                .iter()
+                .filter(|t| site.zones.contains(&t.zone));
+            let targets: Vec<settings::Target> = here.cloned().collect();
+            if targets.is_empty() {
+                continue;
+            }
+            let key = PoolKey {
+                service: service.name.clone(),
+                site: site.name.clone(),
+            };
+            pools.insert(key, Owned::new(&site.region, targets));
+        }
+    }
+    pools
+}
--- /dev/null
+++ b/crates/entry/src/operator/mod.rs
@@ -0,0 +1,8 @@
+//! The listener for operators: health, metrics, dump and changes.
+
+mod auth;
+mod dump;
+mod handlers;
+mod propose;
+
+pub(crate) use handlers::{Desk, routes};
--- /dev/null
+++ b/crates/entry/src/run/once.rs
@@ -0,0 +1,165 @@
+//! Runs non-idempotent requests, at most once for each key.
+
+use {
+    super::{
+        Context,
+        slot::{Reservation, Slot, acquire, answered, reserve},
+    },
+    crate::{
+        claims::Record,
+        node::{Answer, PoolKey, Request},
+        peers,
+        upstream::Ending,
+    },
+    once::{Action, Attempt, Event, Key, Rules},
+    std::time::Duration,
+    wire::Reason,
+};
+
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Runs the request as a task of its own, so that it comes to its end, and its
+/// answer is recorded, even when the caller goes away.
+pub(crate) async fn run(context: &Context, key: &PoolKey, request: &Request) -> Answer {
+    let (context, key, request) = (context.clone(), key.clone(), request.clone());
+    let doubt = Request::refuse_doubtful();
+    let task =
+        actix_web::rt::spawn(async move { Driver::new(&context, &key, &request).drive().await });
+    task.await.unwrap_or(doubt)
+}
+
+/// Carries the actions of [`Attempt`] out and reports their results to it.
+struct Driver<'a> {
+    context: &'a Context,
+    key: &'a PoolKey,
+    request: &'a Request,
+    attempt: Attempt,
+    record: Record,
+    reservation: Option<Reservation<'a>>,
+    slot: Option<Slot<'a>>,
+    avoid: Option<usize>,
+    answer: Option<Answer>,
+    retry_after: Duration,
+}
+
+impl<'a> Driver<'a> {
+    fn new(context: &'a Context, key: &'a PoolKey, request: &'a Request) -> Self {
+        let wall = context.node.clock.wall();
+        let row = Key::parse(&request.key, wall).map(|key| key.row(&request.service));
+        let claims = context.node.claims.clone();
+        let id = format!("{}/{}", context.node.vm.name, request.id);
+        let record = Record::new(row.unwrap_or_default(), &id, &request.fingerprint, claims);
+        Self {
+            context,
+            key,
+            request,
+            attempt: Attempt::new(Rules::STRICT, request.unresolved > 0),
+            record,
+            reservation: None,
+            slot: None,
+            avoid: None,
+            answer: None,
+            retry_after: RETRY_AFTER,
+        }
+    }
+
+    async fn drive(mut self) -> Answer {
+        let event = self.admit();
+        let mut action = self.attempt.on(event);
+        loop {
+            let event = match action {
+                Action::Insert => self.record.insert().await,
+                Action::ReadBack => self.record.read_back().await,
+                Action::AwaitSlot => self.await_slot().await,
+                Action::Dispatch => self.dispatch().await,
+                Action::Replay => return self.record.replay(),
+                Action::Finish => return self.finish(),
+                Action::Refuse {
+                    outcome,
+                    reason,
+                    release,
+                } => {
+                    self.reservation = None;
+                    let reason = self.settle(reason, release).await;
+                    return Answer::refusal(outcome, reason, self.retry_after);
+                }
+            };
+            action = self.attempt.on(event);
+        }
+    }
+
+    fn admit(&mut self) -> Event {
+        match reserve(self.context, self.key, self.request) {
+            Ok(reservation) => {
+                self.reservation = Some(reservation);
+                Event::Admitted
+            }
+            Err((reason, retry_after)) => self.refused(Event::Refused(reason), retry_after),
+        }
+    }
+
+    async fn await_slot(&mut self) -> Event {
+        self.reservation = None;
+        match acquire(self.context, self.key, self.request, self.avoid).await {
+            Ok(slot) => {
+                self.avoid = Some(slot.target());
+                self.slot = Some(slot);
+                Event::SlotGranted
+            }
+            Err((reason, retry_after)) => self.refused(Event::SlotLost(reason), retry_after),
+        }
+    }
+
+    async fn dispatch(&mut self) -> Event {
+        let Some(slot) = self.slot.take() else {
+            return Event::ConnectFailed;
+        };
+        let name = slot.target_name();
+        let left = self
+            .request
+            .deadline
+            .saturating_sub(self.context.node.now());
+        match slot.send(self.request, left).await {
+            Ending::Answered {
+                status,
+                headers,
+                body,
+                ..
+            } => {
+                self.answer = Some(answered(status, headers, body, name));
+                Event::Answered
+            }
+            Ending::Shed => Event::Shed,
+            Ending::ConnectFailed => Event::ConnectFailed,
+            Ending::Broke { reason, crash } => {
+                log::info!(event = "exchange_broke", request = self.request.id.as_str(), target = name.as_str(), reason:% = reason; "exchange broke");
+                if crash {
+                    peers::note_crash(self.context, self.request).await;
+                }
+                Event::Broke(reason)
+            }
+        }
+    }
+
+    /// Gives the answer at once and records it behind.
+    fn finish(mut self) -> Answer {
+        let answer = self.answer.take();
+        let answer = answer.unwrap_or_else(Request::refuse_doubtful);
+        actix_web::rt::spawn(self.record.finish(answer.clone()));
+        answer
+    }
+
+    /// Removes the claim where asked. A claim that stays bars the key, so another
+    /// site must not be tried.
+    async fn settle(&mut self, reason: Reason, release: bool) -> Reason {
+        if !release || self.record.release().await {
+            return reason;
+        }
+        Reason::StoreDown
+    }
+
+    fn refused(&mut self, event: Event, retry_after: Duration) -> Event {
+        self.retry_after = retry_after;
+        event
+    }
+}
--- /dev/null
+++ b/crates/entry/src/run/slot.rs
@@ -0,0 +1,247 @@
+//! Waiting for a slot, and holding one.
+
+use {
+    crate::{
+        node::{Answer, Node, PoolKey, Request},
+        upstream::{self, Clients, Ending, Settled},
+    },
+    std::{sync::Arc, time::Duration},
+    steer::{Admission, Class, End, Grant, Offer},
+    tokio::sync::oneshot,
+    wire::Reason,
+};
+
+/// What a request needs on its way through a VM.
+#[derive(Clone)]
+pub(crate) struct Context {
+    pub(crate) node: Arc<Node>,
+    pub(crate) clients: Clients,
+}
+
+/// A reservation in a pool; given back when it is dropped.
+pub(crate) struct Reservation<'a> {
+    context: &'a Context,
+    key: &'a PoolKey,
+    class: Class,
+}
+
+impl Drop for Reservation<'_> {
+    fn drop(&mut self) {
+        let mut state = self.context.node.state();
+        if let Some(owned) = state.pools.get_mut(self.key) {
+            owned.pool.cancel(self.class);
+        }
+    }
+}
+
+/// A slot of a target; given back when it is dropped.
+pub(crate) struct Slot<'a> {
+    context: &'a Context,
+    key: &'a PoolKey,
+    grant: Grant,
+    end: End,
+}
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        let now = self.context.node.now();
+        let mut state = self.context.node.state();
+        if let Some(owned) = state.pools.get_mut(self.key) {
+            owned.pool.release(&self.grant, self.end, now);
+            owned.pump(now);
+        }
+    }
+}
+
+/// Takes a waiting request out of its queue when its caller goes away.
+struct Waiting<'a> {
+    context: &'a Context,
+    key: &'a PoolKey,
+    ticket: u64,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let mut state = self.context.node.state();
+        if let Some(owned) = state.pools.get_mut(self.key) {
+            owned.pool.abandon(self.ticket);
+            owned.waiting.remove(&self.ticket);
+        }
+    }
+}
+
+/// Lets a request in ahead of its claim.
+pub(crate) fn reserve<'a>(
+    context: &'a Context,
+    key: &'a PoolKey,
+    request: &Request,
+) -> Result<Reservation<'a>, (Reason, Duration)> {
+    let now = context.node.now();
+    let mut state = context.node.state();
+    let class = class(request);
+    let owned = state.pools.get_mut(key).ok_or(NOT_OWNER)?;
+    if !owned.admits(now) {
+        return Err(NOT_OWNER);
+    }
+    let offer = offer(request, 0, None);
+    match owned.pool.reserve(&offer, now) {
+        Admission::Queued => Ok(Reservation {
+            context,
+            key,
+            class,
+        }),
+        Admission::Refused {
+            reason,
+            retry_after,
+        } => Err((reason, retry_after)),
+    }
+}
+
+/// When to come back to a VM that does not own the pool yet.
+const NOT_OWNER: (Reason, Duration) = (Reason::NotOwner, Duration::from_millis(500));
+
+/// Waits for a slot until the request's deadline.
+pub(crate) async fn acquire<'a>(
+    context: &'a Context,
+    key: &'a PoolKey,
+    request: &Request,
+    avoid: Option<usize>,
+) -> Result<Slot<'a>, (Reason, Duration)> {
+    let (ticket, granted) = enqueue(context, key, request, avoid)?;
+    let _waiting = Waiting {
+        context,
+        key,
+        ticket,
+    };
+    let left = request.deadline.saturating_sub(context.node.now());
+    let word = actix_web::rt::time::timeout(left, granted).await;
+    let retry_after = retry_after(context, key, class(request));
+    match word {
+        Ok(Ok(Ok(grant))) => Ok(Slot {
+            context,
+            key,
+            grant,
+            end: End::Unused,
+        }),
+        Ok(Ok(Err(reason))) => Err((reason, retry_after)),
+        Ok(Err(_)) | Err(_) => Err((Reason::Overloaded, retry_after)),
+    }
+}
+
+type Word = oneshot::Receiver<Result<Grant, Reason>>;
+
+fn enqueue(
+    context: &Context,
+    key: &PoolKey,
+    request: &Request,
+    avoid: Option<usize>,
+) -> Result<(u64, Word), (Reason, Duration)> {
+    let now = context.node.now();
+    let mut state = context.node.state();
+    state.next_ticket += 1;
+    let ticket = state.next_ticket;
+    let owned = state.pools.get_mut(key).ok_or(NOT_OWNER)?;
+    if !owned.admits(now) {
+        return Err(NOT_OWNER);
+    }
+    let admission = owned.pool.offer(&offer(request, ticket, avoid), now);
+    if let Admission::Refused {
+        reason,
+        retry_after,
+    } = admission
+    {
+        return Err((reason, retry_after));
+    }
+    let (sender, receiver) = oneshot::channel();
+    owned.waiting.insert(ticket, sender);
+    owned.pump(now);
+    Ok((ticket, receiver))
+}
+
+impl Slot<'_> {
+    /// Position of the target.
+    pub(crate) fn target(&self) -> usize {
+        self.grant.target
+    }
+
+    /// Name of the target.
+    pub(crate) fn target_name(&self) -> String {
+        let state = self.context.node.state();
+        let owned = state.pools.get(self.key);
+        let target = owned.and_then(|owned| owned.targets.get(self.grant.target));
+        target.map(|target| target.name.clone()).unwrap_or_default()
+    }
+
+    /// Sends the request to the target of this slot, and gives the slot back.
+    pub(crate) async fn send(mut self, request: &Request, timeout: Duration) -> Ending {
+        let node = &self.context.node;
+        let target = {
+            let state = node.state();
+            let owned = state.pools.get(self.key);
+            owned.and_then(|owned| owned.targets.get(self.grant.target).cloned())
+        };
+        let fenced = node.paused(node.now());
+        let Some(target) = target.filter(|_| !fenced) else {
+            return Ending::ConnectFailed;
+        };
+        let timeout_ms = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
+        let settled = Settled {
+            target: &target,
+            timeout,
+            deadline_ms: node.clock.wall().saturating_add(timeout_ms),
+        };
+        let ending = upstream::exchange(&self.context.clients, request, &settled).await;
+        self.end = match &ending {
+            Ending::Answered { took, .. } => End::Answered(*took),
+            Ending::Shed => End::Shed,
+            Ending::ConnectFailed | Ending::Broke { .. } => End::Failed,
+        };
+        ending
+    }
+}
+
+fn class(request: &Request) -> Class {
+    if request.idempotent {
+        Class::Idempotent
+    } else {
+        Class::Once
+    }
+}
+
+fn offer(request: &Request, ticket: u64, avoid: Option<usize>) -> Offer<'_> {
+    Offer {
+        ticket,
+        class: class(request),
+        deadline: request.deadline,
+        origin: &request.origin,
+        avoid,
+    }
+}
+
+fn retry_after(context: &Context, key: &PoolKey, class: Class) -> Duration {
+    let now = context.node.now();
+    let state = context.node.state();
+    let owned = state.pools.get(key);
+    owned.map_or(Duration::from_millis(500), |owned| {
+        owned.pool.retry_after(class, now)
+    })
+}
+
+/// An answer from what a target sent.
+pub(crate) fn answered(
+    status: u16,
+    headers: Vec<wire::Header>,
+    body: actix_web::web::Bytes,
+    target: String,
+) -> Answer {
+    Answer {
+        outcome: wire::Outcome::Answered,
+        reason: Reason::None,
+        status,
+        headers,
+        body,
+        retry_after: Duration::ZERO,
+        target,
+        replayed: false,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/steering/forward.rs
@@ -0,0 +1,123 @@
+//! Carries a request to the VM that owns its pool, and its answer back.
+
+use {
+    crate::{
+        errors::PeerError,
+        node::{Answer, PoolKey, Request},
+        peers,
+        run::{self, Context},
+    },
+    actix_web::web::Bytes,
+    std::time::Duration,
+    wire::{Forward, Member, Outcome, Reason, Reply},
+};
+
+const RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Time kept for the answer's way back from the owner.
+const RETURN_TIME: Duration = Duration::from_millis(5);
+
+/// Sends a request to the owner of its pool.
+pub(crate) async fn send(
+    context: &Context,
+    key: &PoolKey,
+    request: &Request,
+    owner: &Member,
+) -> Answer {
+    let node = &context.node;
+    let left = request.deadline.saturating_sub(node.now());
+    let own_time = left.saturating_sub(RETURN_TIME);
+    let own_ms = u64::try_from(own_time.as_millis()).unwrap_or(u64::MAX);
+    let head = Forward {
+        request: request.id.clone(),
+        service: request.service.clone(),
+        operation: request.operation.clone(),
+        site: key.site.clone(),
+        method: request.method.clone(),
+        path: request.path.clone(),
+        headers: request.headers.clone(),
+        deadline_ms: own_ms,
+        key: request.key.clone(),
+        unresolved: request.unresolved,
+        origin: request.origin.clone(),
+        fingerprint: request.fingerprint.clone(),
+    };
+    match peers::forward(context, owner, &head, &request.body, left).await {
+        Ok((reply, body)) => receive(reply, body),
+        Err(PeerError::Unreachable) => request.refuse_unsent(Reason::VmUnreachable, RETRY_AFTER),
+        Err(PeerError::Lost) if request.idempotent => {
+            Answer::refusal(Outcome::MayHaveRun, Reason::VmUnreachable, RETRY_AFTER)
+        }
+        Err(PeerError::Lost) => Request::refuse_doubtful(),
+    }
+}
+
+fn receive(reply: Reply, body: Bytes) -> Answer {
+    Answer {
+        outcome: reply.outcome,
+        reason: reply.reason,
+        status: reply.status,
+        headers: reply.headers,
+        body,
+        retry_after: Duration::from_millis(reply.retry_after_ms),
+        target: reply.target,
+        replayed: reply.replayed,
+    }
+}
+
+/// Runs a forwarded request, if this VM owns its pool.
+pub(crate) async fn accept(context: &Context, head: Forward, body: Bytes) -> Answer {
+    let node = &context.node;
+    let idempotent = {
+        let state = node.state();
+        let service = state.fleet.service(&head.service);
+        let mut operations = service.into_iter().flat_map(|service| &service.operations);
+        operations
+            .find(|operation| operation.name == head.operation)
+            .map(|operation| operation.idempotent)
+    };
+    let request = Request {
+        id: head.request,
+        service: head.service,
+        operation: head.operation,
+        idempotent: idempotent.unwrap_or(false),
+        method: head.method,
+        path: head.path,
+        headers: head.headers,
+        body,
+        deadline: node.now() + Duration::from_millis(head.deadline_ms),
+        key: head.key,
+        unresolved: head.unresolved,
+        origin: head.origin,
+        fingerprint: head.fingerprint,
+    };
+    if idempotent.is_none() {
+        return request.refuse_unsent(Reason::NotOwner, RETRY_AFTER);
+    }
+    if let Some(reason) = node.closed().filter(|reason| *reason != Reason::Stopping) {
+        return request.refuse_unsent(reason, RETRY_AFTER);
+    }
+    let now = node.now();
+    let blocked = node.state().quarantine.blocked(&request.fingerprint, now);
+    if let Some(left) = blocked {
+        return request.refuse_unsent(Reason::Quarantined, left);
+    }
+    let key = PoolKey {
+        service: request.service.clone(),
+        site: head.site,
+    };
+    run::run(context, &key, &request).await
+}
+
+/// Head of the answer to a forwarded request.
+pub(crate) fn reply(answer: &Answer) -> Reply {
+    let retry_after = answer.retry_after.as_millis();
+    Reply {
+        outcome: answer.outcome,
+        reason: answer.reason,
+        status: answer.status,
+        headers: answer.headers.clone(),
+        retry_after_ms: u64::try_from(retry_after).unwrap_or(u64::MAX),
+        target: answer.target.clone(),
+        replayed: answer.replayed,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/upstream/mod.rs
@@ -0,0 +1,7 @@
+//! The port to upstreams, over HTTP/1.1.
+
+mod client;
+mod exchange;
+
+pub(crate) use client::Clients;
+pub(crate) use exchange::{Ending, Settled, exchange};
--- /dev/null
+++ b/crates/rig/src/lib.rs
@@ -0,0 +1,16 @@
+//! Starts the shipped programs with their stand-ins on loopback, for tests,
+//! trials and measurements. It stands in for the hands that start and stop VMs.
+
+mod admin;
+mod errors;
+mod layout;
+mod process;
+mod rig;
+mod verdict;
+
+pub use admin::Admin;
+pub use errors::RigError;
+pub use layout::{Layout, Place};
+pub use process::Process;
+pub use rig::{Options, Rig};
+pub use verdict::Verdict;
--- /dev/null
+++ b/crates/rig/src/verdict.rs
@@ -0,0 +1,79 @@
+//! Judges callers' records against the log of runs.
+
+use {
+    stand::{
+        caller::{Record, Told},
+        upstream::Run,
+    },
+    std::collections::HashMap,
+};
+
+/// What the records and the log say together.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Verdict {
+    /// Requests that callers made.
+    pub sent: usize,
+    /// Whole own answers.
+    pub answered: usize,
+    /// Requests that did not run, as told.
+    pub not_run: usize,
+    /// Requests that may have run, as told.
+    pub may_have_run: usize,
+    /// Requests without any answer.
+    pub nothing: usize,
+    /// Answers that were cut or another's.
+    pub wrong_answers: usize,
+    /// Keys that ran more than once.
+    pub run_twice: Vec<String>,
+    /// Keys that ran although their caller was told that they did not.
+    pub false_not_run: Vec<String>,
+    /// Keys that never ran although their caller got an answer.
+    pub false_answers: Vec<String>,
+    /// Runs that began when the target's slots were taken.
+    pub over_slots: usize,
+}
+
+impl Verdict {
+    /// Judges.
+    #[must_use]
+    pub fn of(records: &[Record], runs: &[Run]) -> Self {
+        let mut counts: HashMap<&str, usize> = HashMap::new();
+        for run in runs.iter().filter(|run| !run.key.is_empty()) {
+            *counts.entry(&run.key).or_default() += 1;
+        }
+        let told = |told: Told| records.iter().filter(|record| record.told == told).count();
+        let ran = |record: &Record| counts.contains_key(record.key.as_str());
+        let keys = |wanted: &dyn Fn(&Record) -> bool| -> Vec<String> {
+            let keyed = records.iter().filter(|record| !record.key.is_empty());
+            keyed.filter(|r| wanted(r)).map(|r| r.key.clone()).collect()
+        };
+        let mut run_twice: Vec<String> = counts
+            .iter()
+            .filter(|(_, count)| **count > 1)
+            .map(|(key, _)| (*key).to_owned())
+            .collect();
+        run_twice.sort();
+        Self {
+            sent: records.len(),
+            answered: told(Told::Answered),
+            not_run: told(Told::NotRun),
+            may_have_run: told(Told::MayHaveRun),
+            nothing: told(Told::Nothing),
+            wrong_answers: told(Told::WrongAnswer),
+            run_twice,
+            false_not_run: keys(&|record| record.told == Told::NotRun && ran(record)),
+            false_answers: keys(&|record| record.told == Told::Answered && !ran(record)),
+            over_slots: runs.iter().filter(|run| run.running > run.slots).count(),
+        }
+    }
+
+    /// Whether every promise held that this verdict can judge.
+    #[must_use]
+    pub fn holds(&self) -> bool {
+        self.wrong_answers == 0
+            && self.run_twice.is_empty()
+            && self.false_not_run.is_empty()
+            && self.false_answers.is_empty()
+            && self.over_slots == 0
+    }
+}
--- /dev/null
+++ b/crates/settings/src/fleet/mod.rs
@@ -0,0 +1,9 @@
+//! Settings that all VMs share: places, services, links and presets.
+
+mod caps;
+mod check;
+mod raw;
+mod types;
+
+pub use raw::RawFleet;
+pub use types::{Block, Fleet, Link, Operation, Preset, Region, Service, Share, Site, Target};
--- /dev/null
+++ b/crates/stand/src/caller/mod.rs
@@ -0,0 +1,7 @@
+//! A caller that follows the look-up's advice and records what it was told.
+
+mod client;
+mod record;
+
+pub use client::{Caller, Plan};
+pub use record::{Record, Told};
--- /dev/null
+++ b/crates/stand/src/fault/mod.rs
@@ -0,0 +1,7 @@
+//! A TCP proxy that delays, cuts and freezes what passes through it.
+
+mod proxy;
+mod route;
+
+pub use proxy::serve;
+pub use route::{Mode, Setting};
--- /dev/null
+++ b/crates/stand/src/platform/server.rs
@@ -0,0 +1,164 @@
+//! The platform's HTTP interface.
+
+use {
+    super::store::{Fault, Mode, Store},
+    actix_web::{App, HttpResponse, HttpServer, web},
+    futures_util::stream,
+    platform::{Listed, Op, Range},
+    serde::Serialize,
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+};
+
+const HANG: Duration = Duration::from_secs(30);
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+
+type Shared = web::Data<Mutex<Store>>;
+
+/// Serves the platform until the process ends.
+///
+/// # Errors
+/// When the address cannot be bound.
+pub async fn serve(address: SocketAddr) -> io::Result<()> {
+    let shared: Shared = web::Data::new(Mutex::new(Store::default()));
+    HttpServer::new(move || {
+        App::new()
+            .app_data(shared.clone())
+            .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
+            .app_data(
+                web::JsonConfig::default()
+                    .limit(MAX_BODY_BYTES)
+                    .content_type_required(false),
+            )
+            .route("/table/commit", web::post().to(commit))
+            .route("/table/get", web::post().to(get))
+            .route("/table/sweep", web::post().to(sweep))
+            .route("/objects/{name:.*}", web::get().to(read_object))
+            .route("/objects/{name:.*}", web::post().to(write_object))
+            .route("/vms", web::get().to(vms))
+            .route("/vms", web::post().to(set_vms))
+            .route("/control/fault", web::post().to(set_fault))
+            .route("/control/stats", web::get().to(stats))
+            .route("/control/rows", web::get().to(rows))
+    })
+    .workers(2)
+    .bind(address)?
+    .run()
+    .await
+}
+
+fn lock(store: &Shared) -> MutexGuard<'_, Store> {
+    store.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Waits as the fault says; an answer ends the call without any effect.
+async fn meet_fault(store: &Shared) -> Option<HttpResponse> {
+    let fault = lock(store).fault.clone();
+    match fault.mode {
+        Mode::Up => {}
+        Mode::Down => return Some(HttpResponse::ServiceUnavailable().finish()),
+        Mode::Hang => {
+            actix_web::rt::time::sleep(HANG).await;
+            return Some(HttpResponse::ServiceUnavailable().finish());
+        }
+    }
+    if fault.delay_ms > 0 {
+        actix_web::rt::time::sleep(Duration::from_millis(fault.delay_ms)).await;
+    }
+    None
+}
+
+/// Ends the connection without an answer.
+fn lost() -> HttpResponse {
+    let broken = stream::once(async { Err::<web::Bytes, _>(io::Error::other("answer lost")) });
+    HttpResponse::Ok().streaming(broken)
+}
+
+fn json<T: Serialize>(value: &T) -> HttpResponse {
+    HttpResponse::Ok().json(value)
+}
+
+async fn commit(store: Shared, ops: web::Json<Vec<Op>>) -> HttpResponse {
+    if let Some(answer) = meet_fault(&store).await {
+        return answer;
+    }
+    let mut store = lock(&store);
+    if store.fault.lose_commits > 0 {
+        store.fault.lose_commits -= 1;
+        return lost();
+    }
+    let results = store.commit(ops.into_inner());
+    if store.fault.lose_answers > 0 {
+        store.fault.lose_answers -= 1;
+        return lost();
+    }
+    json(&results)
+}
+
+async fn get(store: Shared, keys: web::Json<Vec<String>>) -> HttpResponse {
+    if let Some(answer) = meet_fault(&store).await {
+        return answer;
+    }
+    json(&lock(&store).get(&keys))
+}
+
+async fn sweep(store: Shared, range: web::Json<Range>) -> HttpResponse {
+    if let Some(answer) = meet_fault(&store).await {
+        return answer;
+    }
+    json(&lock(&store).sweep(&range))
+}
+
+async fn read_object(store: Shared, name: web::Path<String>) -> HttpResponse {
+    if let Some(answer) = meet_fault(&store).await {
+        return answer;
+    }
+    let mut store = lock(&store);
+    store.stats.reads += 1;
+    let found = store.objects.get(name.as_str()).cloned();
+    found.map_or_else(
+        || HttpResponse::NotFound().finish(),
+        |bytes| HttpResponse::Ok().body(bytes),
+    )
+}
+
+async fn write_object(store: Shared, name: web::Path<String>, bytes: web::Bytes) -> HttpResponse {
+    if let Some(answer) = meet_fault(&store).await {
+        return answer;
+    }
+    let mut store = lock(&store);
+    store.stats.writes += 1;
+    store.objects.insert(name.into_inner(), bytes.to_vec());
+    HttpResponse::Ok().finish()
+}
+
+async fn vms(store: Shared) -> HttpResponse {
+    if let Some(answer) = meet_fault(&store).await {
+        return answer;
+    }
+    let mut store = lock(&store);
+    store.stats.reads += 1;
+    json(&store.vms)
+}
+
+async fn set_vms(store: Shared, vms: web::Json<Vec<Listed>>) -> HttpResponse {
+    lock(&store).vms = vms.into_inner();
+    HttpResponse::Ok().finish()
+}
+
+async fn set_fault(store: Shared, fault: web::Json<Fault>) -> HttpResponse {
+    lock(&store).fault = fault.into_inner();
+    HttpResponse::Ok().finish()
+}
+
+async fn stats(store: Shared) -> HttpResponse {
+    json(&lock(&store).stats)
+}
+
+async fn rows(store: Shared) -> HttpResponse {
+    json(&lock(&store).rows)
+}
--- /dev/null
+++ b/crates/steer/src/budget.rs
@@ -0,0 +1,38 @@
+//! A budget for retries, so that retries cannot multiply load.
+
+const DEPOSIT: f64 = 0.1;
+const MAX_TOKENS: f64 = 10.0;
+
+/// Each first try pays a tenth of a retry in; each retry takes one out.
+#[derive(Debug, Clone)]
+pub struct Budget {
+    tokens: f64,
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Self { tokens: MAX_TOKENS }
+    }
+}
+
+impl Budget {
+    /// Notes a first try.
+    pub fn deposit(&mut self) {
+        self.tokens = (self.tokens + DEPOSIT).min(MAX_TOKENS);
+    }
+
+    /// Takes one retry out, if there is one.
+    pub fn withdraw(&mut self) -> bool {
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    /// Retries that are left.
+    #[must_use]
+    pub fn tokens(&self) -> f64 {
+        self.tokens
+    }
+}
--- /dev/null
+++ b/crates/steer/src/quarantine.rs
@@ -0,0 +1,72 @@
+//! Stops a request that crashes the targets that run it.
+
+use {std::time::Duration, wire::Map};
+
+/// Crash-like ends after which a request is refused.
+pub const LIMIT: u32 = 2;
+const MEMORY: Duration = Duration::from_mins(1);
+
+#[derive(Debug, Clone, Copy)]
+struct Record {
+    count: u32,
+    expires: Duration,
+}
+
+/// Counts crash-like ends by the fingerprint of the request.
+#[derive(Debug, Clone, Default)]
+pub struct Quarantine {
+    records: Map<String, Record>,
+}
+
+impl Quarantine {
+    /// Notes a crash-like end and returns the count so far.
+    pub fn note(&mut self, fingerprint: &str, now: Duration) -> u32 {
+        self.forget(now);
+        let record = self
+            .records
+            .entry(fingerprint.to_owned())
+            .or_insert(Record {
+                count: 0,
+                expires: now,
+            });
+        record.count += 1;
+        record.expires = now + MEMORY;
+        record.count
+    }
+
+    /// Takes over what another VM counted, when that is more.
+    pub fn merge(&mut self, fingerprint: &str, count: u32, left: Duration, now: Duration) {
+        let left = left.min(MEMORY);
+        let known = self
+            .records
+            .get(fingerprint)
+            .map_or(0, |record| record.count);
+        if count > known {
+            let record = Record {
+                count,
+                expires: now + left,
+            };
+            self.records.insert(fingerprint.to_owned(), record);
+        }
+    }
+
+    /// Time until the request may be tried again, when it is refused now.
+    #[must_use]
+    pub fn blocked(&self, fingerprint: &str, now: Duration) -> Option<Duration> {
+        let record = self.records.get(fingerprint)?;
+        let live = record.count >= LIMIT && now < record.expires;
+        live.then(|| record.expires.saturating_sub(now))
+    }
+
+    /// Everything that is counted: fingerprint, count and time left.
+    #[must_use]
+    pub fn records(&self, now: Duration) -> Vec<(&str, u32, Duration)> {
+        let live = self.records.iter().filter(|(_, r)| now < r.expires);
+        live.map(|(f, r)| (f.as_str(), r.count, r.expires.saturating_sub(now)))
+            .collect()
+    }
+
+    fn forget(&mut self, now: Duration) {
+        self.records.retain(|_, record| now < record.expires);
+    }
+}
--- /dev/null
+++ b/crates/steer/src/window.rs
@@ -0,0 +1,76 @@
+//! A rate limit over a sliding second.
+
+use std::time::Duration;
+
+const BUCKETS: usize = 101;
+const BUCKET_MS: u64 = 10;
+
+/// Counts events so that no second, wherever it starts, holds more than the limit.
+///
+/// The window spans one bucket more than a second, so the rounding to buckets
+/// errs towards fewer events.
+#[derive(Debug, Clone)]
+pub struct Window {
+    limit: u32,
+    counts: [u32; BUCKETS],
+    sum: u32,
+    head: u64,
+}
+
+impl Window {
+    /// Allows `limit` events in any second.
+    #[must_use]
+    pub fn new(limit: u32) -> Self {
+        Self {
+            limit,
+            counts: [0; BUCKETS],
+            sum: 0,
+            head: 0,
+        }
+    }
+
+    /// Changes the limit and keeps what was counted.
+    pub fn set_limit(&mut self, limit: u32) {
+        self.limit = limit;
+    }
+
+    /// Whether one more event fits now.
+    pub fn fits(&mut self, now: Duration) -> bool {
+        self.advance(now);
+        self.sum < self.limit
+    }
+
+    /// Counts one event.
+    pub fn record(&mut self, now: Duration) {
+        self.advance(now);
+        self.counts[slot(self.head)] += 1;
+        self.sum += 1;
+    }
+
+    /// Events counted in the last second.
+    #[must_use]
+    pub fn count(&self) -> u32 {
+        self.sum
+    }
+
+    /// Events allowed in any second.
+    #[must_use]
+    pub fn limit(&self) -> u32 {
+        self.limit
+    }
+
+    fn advance(&mut self, now: Duration) {
+        let bucket = u64::try_from(now.as_millis()).unwrap_or(u64::MAX) / BUCKET_MS;
+        let steps = bucket.saturating_sub(self.head).min(BUCKETS as u64);
+        for step in 1..=steps {
+            let index = slot(bucket - steps + step);
+            self.sum -= self.counts[index];
+            self.counts[index] = 0;
+        }
+        self.head = self.head.max(bucket);
+    }
+}
+
+fn slot(bucket: u64) -> usize {
+    usize::try_from(bucket % BUCKETS as u64).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,20 @@
+//! Types that cross a process border, and their codec.
+//!
+//! The types are generated from `schema/wire.json`; see `docs/DESIGN.md`,
+//! section "Protocols between VMs".
+
+mod codec;
+mod errors;
+#[allow(clippy::all, clippy::pedantic, missing_docs, unreachable_pub)]
+mod generated;
+pub mod header;
+
+pub use codec::{decode, decode_framed, encode, encode_framed};
+pub use errors::CodecError;
+pub use generated::{
+    Change, Claim, Decision, Document, Entry, Forward, Gossip, Header, Kind, Lookup, Mark, Member,
+    Outcome, Phase, Poison, Pool, Proposal, Reason, Refusal, Reply, Status, Verdict,
+};
+
+/// Hash map with a fast hasher, used where no order is needed.
+pub type Map<K, V> = std::collections::HashMap<K, V, foldhash::fast::RandomState>;
