Add the operators' command line and a trial of the whole system

Cause: operators had no way in but raw HTTP, and a newcomer had no one command that shows the system at work.

Change: `cicadalift` (status, switch, leave, return, dump, check, completions) with exit codes for scripts, and `scripts/try`, which starts the stand-ins and VMs, sends mixed requests through look-ups during a preset switch, a leaving target, a graceful stop and a kill, and judges the callers' records against the upstreams' log of runs.

--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,7 @@
+//! The operators' command line.
+
+use {clap::Parser, ctl::Args};
+
+fn main() -> std::process::ExitCode {
+    ctl::run(&Args::parse())
+}
--- /dev/null
+++ b/crates/rig/src/bin/cicadalift-try.rs
@@ -0,0 +1,261 @@
+//! Tries the whole system on loopback and says whether its promises held.
+
+use {
+    clap::Parser,
+    futures_util::future::join_all,
+    hdrhistogram::Histogram,
+    rig::{Options, Rig, RigError, Verdict},
+    stand::caller::{Caller, Plan, Record, Told},
+    std::{
+        cell::Cell,
+        process::ExitCode,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    wire::{Change, Kind, Mark},
+};
+
+/// Starts entry VMs and stand-ins, sends mixed requests through look-ups while
+/// a preset is switched, an upstream leaves, one VM stops and one is killed.
+#[derive(Debug, Parser)]
+struct Args {
+    /// Shipped fleet settings to use.
+    #[arg(long, default_value = "takbo")]
+    firm: String,
+    /// VMs to start.
+    #[arg(long, default_value_t = 6)]
+    vms: u8,
+    /// Callers that send at the same time.
+    #[arg(long, default_value_t = 12)]
+    callers: usize,
+    /// Least requests of each caller.
+    #[arg(long, default_value_t = 40)]
+    requests: usize,
+}
+
+const STOP_TIMEOUT: Duration = Duration::from_secs(70);
+const PAUSE: Duration = Duration::from_millis(150);
+const STAGE: Duration = Duration::from_secs(1);
+const SENDS: u32 = 6;
+const LONGEST_US: u64 = 600_000_000;
+const PRESET: &str = "peak";
+
+#[actix_rt::main]
+async fn main() -> ExitCode {
+    match attempt(&Args::parse()).await {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn attempt(args: &Args) -> Result<bool, RigError> {
+    println!(
+        "starting {} VMs with the settings of {}",
+        args.vms, args.firm
+    );
+    let mut rig = Rig::start(Options {
+        firm: args.firm.clone(),
+        vms: args.vms,
+        ..Options::default()
+    })
+    .await?;
+    let plans = plans(&rig);
+    let regions = rig.fleet.regions.len();
+    let callers: Vec<Caller> = (0..args.callers).map(|i| rig.caller(i % regions)).collect();
+    let ended = Rc::new(Cell::new(false));
+    let load = callers.into_iter().enumerate().map(|(index, caller)| {
+        actix_rt::spawn(requests(
+            caller,
+            plans.clone(),
+            index,
+            args.requests,
+            ended.clone(),
+        ))
+    });
+    let load: Vec<_> = load.collect();
+    let story = events(&mut rig).await?;
+    actix_rt::time::sleep(STAGE).await;
+    ended.set(true);
+    let records: Vec<Record> = join_all(load)
+        .await
+        .into_iter()
+        .flatten()
+        .flatten()
+        .collect();
+    let verdict = Verdict::of(&records, &rig.runs().await?);
+    let held = verdict.holds() && story.held();
+    print(&records, &verdict, &story);
+    Ok(held)
+}
+
+/// Every operation of the fleet's settings.
+fn plans(rig: &Rig) -> Vec<Plan> {
+    let services = rig.fleet.services.iter();
+    let operations =
+        services.flat_map(|service| service.operations.iter().map(move |op| (service, op)));
+    operations
+        .map(|(service, op)| Plan {
+            service: service.name.clone(),
+            method: op.method.clone(),
+            path: format!("{}/7", op.path),
+            idempotent: op.idempotent,
+            timeout: Duration::from_millis(op.timeout_ms),
+            sends: SENDS,
+        })
+        .collect()
+}
+
+/// Sends at least `least` requests, and goes on until the story has ended.
+async fn requests(
+    mut caller: Caller,
+    plans: Vec<Plan>,
+    first: usize,
+    least: usize,
+    ended: Rc<Cell<bool>>,
+) -> Vec<Record> {
+    let mut records = Vec::new();
+    while records.len() < least || !ended.get() {
+        let plan = &plans[(first + records.len()) % plans.len()];
+        records.push(caller.send(plan).await);
+        actix_rt::time::sleep(PAUSE).await;
+    }
+    records
+}
+
+/// What the operator's changes and the stops came to.
+struct Story {
+    preset_ms: u128,
+    preset_on: usize,
+    vms: usize,
+    leaving: String,
+    leaving_on: usize,
+    stopped: String,
+    stop_code: Option<i32>,
+    killed: String,
+}
+
+impl Story {
+    fn held(&self) -> bool {
+        self.preset_on == self.vms && self.leaving_on == self.vms && self.stop_code == Some(0)
+    }
+}
+
+/// Switches a preset, marks an upstream as leaving, stops a VM and kills another.
+async fn events(rig: &mut Rig) -> Result<Story, RigError> {
+    actix_rt::time::sleep(STAGE).await;
+    let start = Instant::now();
+    let change = Change::Preset {
+        name: PRESET.to_owned(),
+        expect: 1,
+    };
+    let switched = rig.admin.change(&rig.places[0], change).await?;
+    let preset_ms = start.elapsed().as_millis();
+    actix_rt::time::sleep(STAGE).await;
+    let service = &rig.fleet.services[0];
+    let leaving = service.targets[0].name.clone();
+    let mark = Mark {
+        kind: Kind::Target,
+        name: leaving.clone(),
+    };
+    let marked = rig
+        .admin
+        .change(&rig.places[1], Change::Leaving(mark))
+        .await?;
+    actix_rt::time::sleep(STAGE).await;
+    let stopped = rig.vms[2].name().to_owned();
+    rig.vms[2].terminate();
+    let status = wait(rig, 2).await;
+    let killed = rig.vms[3].name().to_owned();
+    rig.vms[3].kill();
+    Ok(Story {
+        preset_ms,
+        preset_on: switched.confirmed.len(),
+        vms: rig.vms.len(),
+        leaving,
+        leaving_on: marked.confirmed.len(),
+        stopped,
+        stop_code: status,
+        killed,
+    })
+}
+
+/// Waits for a stop without holding up the callers of this thread.
+async fn wait(rig: &mut Rig, index: usize) -> Option<i32> {
+    let end = Instant::now() + STOP_TIMEOUT;
+    while rig.vms[index].runs() && Instant::now() < end {
+        actix_rt::time::sleep(PAUSE).await;
+    }
+    let status = rig.vms[index].wait(Duration::ZERO);
+    status.and_then(|status| status.code())
+}
+
+fn micros(ms: f64) -> u64 {
+    let time = Duration::from_secs_f64(ms / 1000.0);
+    u64::try_from(time.as_micros()).unwrap_or(LONGEST_US)
+}
+
+fn print(records: &[Record], verdict: &Verdict, story: &Story) {
+    let mut took =
+        Histogram::<u64>::new_with_bounds(1, LONGEST_US, 3).expect("the bounds are valid");
+    for record in records
+        .iter()
+        .filter(|record| record.told == Told::Answered)
+    {
+        took.saturating_record(micros(record.took_ms));
+    }
+    let ms = |quantile: f64| Duration::from_micros(took.value_at_quantile(quantile));
+    let rows = [
+        ("sent", verdict.sent.to_string()),
+        ("answered", verdict.answered.to_string()),
+        ("not run", verdict.not_run.to_string()),
+        ("may have run", verdict.may_have_run.to_string()),
+        ("no answer", verdict.nothing.to_string()),
+        ("run twice", verdict.run_twice.len().to_string()),
+        (
+            "told not run, but ran",
+            verdict.false_not_run.len().to_string(),
+        ),
+        ("wrong or cut answers", verdict.wrong_answers.to_string()),
+        ("runs beyond slots", verdict.over_slots.to_string()),
+        ("p50 of answers", format!("{:?}", ms(0.5))),
+        (
+            "p99 of answers, retries and waits included",
+            format!("{:?}", ms(0.99)),
+        ),
+        (
+            "preset in force",
+            format!(
+                "{PRESET} on {} of {} VMs after {} ms",
+                story.preset_on, story.vms, story.preset_ms
+            ),
+        ),
+        (
+            "leaving",
+            format!(
+                "{} on {} of {} VMs",
+                story.leaving, story.leaving_on, story.vms
+            ),
+        ),
+        (
+            "stopped",
+            format!("{}, exit code {:?}", story.stopped, story.stop_code),
+        ),
+        ("killed", story.killed.clone()),
+    ];
+    for (name, value) in rows {
+        println!("{name:<44} {value}");
+    }
+    let held = verdict.holds() && story.held();
+    println!(
+        "{}",
+        if held {
+            "the promises held"
+        } else {
+            "A PROMISE DID NOT HOLD"
+        }
+    );
+}
