--- a/crates/entry/src/claims/record.rs
+++ b/crates/entry/src/claims/record.rs
@@ -13,6 +13,10 @@
 
 /// Largest answer that is kept in the row.
 const MAX_KEPT_BYTES: usize = 32 * 1024;
+/// Tries to record an answer; they outlast a short outage of the platform.
+const RECORD_TRIES: u32 = 60;
+const FIRST_RECORD_PAUSE: Duration = Duration::from_millis(50);
+const MAX_RECORD_PAUSE: Duration = Duration::from_secs(2);
 /// Tries to remove a claim that was given up.
 const RELEASE_TRIES: u32 = 3;
 const RELEASE_PAUSE: Duration = Duration::from_millis(50);
@@ -89,9 +93,18 @@
             when: Condition::Version(version),
             then: Effect::Put(text(&self.claim)),
         };
-        if let Err(error) = self.write(op).await {
-            log::warn!(event = "answer_not_recorded", error:% = error; "answer not recorded");
+        let mut pause = FIRST_RECORD_PAUSE;
+        for _ in 0..RECORD_TRIES {
+            match self.write(op.clone()).await {
+                Ok(_) => return,
+                Err(error) => {
+                    log::info!(event = "answer_not_recorded", error:% = error; "answer not recorded yet");
+                }
+            }
+            actix::clock::sleep(pause).await;
+            pause = (pause * 2).min(MAX_RECORD_PAUSE);
         }
+        log::warn!(event = "answer_given_up", claim = self.claim.id.as_str(); "answer not recorded");
     }
 
     /// Removes the claim of a send that was never dispatched; false when the
--- a/crates/entry/src/launch.rs
+++ b/crates/entry/src/launch.rs
@@ -13,10 +13,11 @@
     actix::Actor,
     actix_web::{App, HttpServer, dev::ServerHandle, web},
     eyre::{WrapErr, eyre},
+    log::LevelFilter,
     log4rs::{
         Config,
         append::console::ConsoleAppender,
-        config::{Appender, Root},
+        config::{Appender, Logger, Root},
         encode::json::JsonEncoder,
     },
     member::{Timing, View},
@@ -35,6 +36,8 @@
 /// Longest wait for requests in flight at a stop.
 const DRAIN_TIMEOUT: Duration = Duration::from_mins(1);
 const DRAIN_POLL: Duration = Duration::from_millis(50);
+/// Libraries whose notes say nothing about steering.
+const QUIET: [&str; 3] = ["actix_server", "actix_http", "awc"];
 const MAX_CONNECTIONS: usize = 8192;
 const KEEP_ALIVE: Duration = Duration::from_secs(30);
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
@@ -75,12 +78,13 @@
     Ok((vm, fleet))
 }
 
-fn start_log(level: log::LevelFilter) -> eyre::Result<()> {
+fn start_log(level: LevelFilter) -> eyre::Result<()> {
     let console = ConsoleAppender::builder()
         .encoder(Box::new(JsonEncoder::new()))
         .build();
     let config = Config::builder()
         .appender(Appender::builder().build("console", Box::new(console)))
+        .loggers(QUIET.map(|name| Logger::builder().build(name, LevelFilter::Warn)))
         .build(Root::builder().appender("console").build(level))?;
     log4rs::init_config(config)?;
     Ok(())
--- a/crates/entry/src/node/owned.rs
+++ b/crates/entry/src/node/owned.rs
@@ -35,6 +35,8 @@
     pub(crate) targets: Vec<Target>,
     pub(crate) owner: Option<String>,
     pub(crate) ownership: Ownership,
+    /// Targets whose open connections are not used until a time.
+    pub(crate) distrust: Map<usize, Duration>,
     pub(crate) waiting: Map<u64, oneshot::Sender<Result<Grant, Reason>>>,
 }
 
@@ -49,6 +51,7 @@
             targets,
             owner: None,
             ownership: Ownership::Never,
+            distrust: Map::default(),
             waiting: Map::default(),
         }
     }
--- a/crates/entry/src/node/shared.rs
+++ b/crates/entry/src/node/shared.rs
@@ -67,7 +67,7 @@
         if state.stopping {
             return Some(Reason::Stopping);
         }
-        if state.replica.version() == 0 || isolated(&state, now) {
+        if !state.informed() || isolated(&state, now) {
             return Some(Reason::NotReady);
         }
         None
--- a/crates/entry/src/node/state.rs
+++ b/crates/entry/src/node/state.rs
@@ -5,11 +5,17 @@
     control::Replica,
     member::View,
     settings::Fleet,
-    std::{collections::BTreeMap, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
     steer::{Atlas, Budget, Quarantine},
     wire::{Document, Kind, Map, Member},
 };
 
+/// Members asked for their document before a VM serves without the platform.
+const ENOUGH_PROBED: usize = 24;
+
 /// Everything that changes while the process runs, behind one lock.
 pub(crate) struct State {
     pub(crate) fleet: Fleet,
@@ -25,6 +31,8 @@
     pub(crate) store_heard_at: Duration,
     pub(crate) stopping: bool,
     pub(crate) in_flight: u32,
+    /// Members that were probed since the start, whether they answered or not.
+    pub(crate) probed: BTreeSet<String>,
     pub(crate) report_beat: u64,
     /// View and document for which the owners were last worked out.
     settled: (u64, u64),
@@ -46,6 +54,7 @@
             store_heard_at: Duration::ZERO,
             stopping: false,
             in_flight: 0,
+            probed: BTreeSet::new(),
             report_beat: 0,
             settled: (u64::MAX, u64::MAX),
         };
@@ -111,6 +120,15 @@
         }
     }
 
+    /// Whether this VM may trust its document: the platform gave it one since the
+    /// start, or enough members were asked for theirs.
+    pub(crate) fn informed(&self) -> bool {
+        let others = self.view.all().len() - 1;
+        self.replica.version() > 0
+            && (self.store_heard_at > Duration::ZERO
+                || self.probed.len() >= others.min(ENOUGH_PROBED))
+    }
+
     /// The retry budget of a service.
     pub(crate) fn budget(&mut self, service: &str) -> &mut Budget {
         self.budgets.entry(service.to_owned()).or_default()
--- a/crates/entry/src/peers/prober.rs
+++ b/crates/entry/src/peers/prober.rs
@@ -48,7 +48,9 @@
 async fn probe(node: &Arc<Node>, clients: &Clients, member: &Member) {
     let newcomer = member.boot_ms == 0;
     let address = node.peer_address(&member.name, &member.peer);
-    if exchange::exchange(node, clients, &address, newcomer).await {
+    let answered = exchange::exchange(node, clients, &address, newcomer).await;
+    node.state().probed.insert(member.name.clone());
+    if answered {
         return;
     }
     if member.status == Status::Gone || reached_by_helper(node, clients, member).await {
--- a/crates/entry/src/run/idempotent.rs
+++ b/crates/entry/src/run/idempotent.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Context,
-        slot::{acquire, answered},
+        slot::{Slot, acquire, answered},
     },
     crate::{
         node::{Answer, PoolKey, Request},
@@ -17,6 +17,8 @@
 /// Sends of one request to targets of one pool.
 const MAX_TRIES: u32 = 3;
 const RETRY_AFTER: Duration = Duration::from_millis(500);
+const USUAL_TIMES: u32 = 10;
+const MIN_TRY: Duration = Duration::from_millis(250);
 
 /// Runs the request, and tries again on another target while the retry budget,
 /// the quarantine and the deadline allow.
@@ -35,10 +37,8 @@
         };
         avoid = Some(slot.target());
         let name = slot.target_name();
-        match slot
-            .send(request, try_timeout(context, request, attempt))
-            .await
-        {
+        let timeout = try_timeout(context, &slot, request, attempt);
+        match slot.send(request, timeout, attempt > 1).await {
             Ending::Answered {
                 status,
                 headers,
@@ -67,9 +67,14 @@
     context.node.state().budget(&key.service).withdraw()
 }
 
-/// The first try gets half of the time that is left, so that a silent target
-/// leaves time for another; later tries get all of it.
-fn try_timeout(context: &Context, request: &Request, attempt: u32) -> Duration {
+/// The first try gets a multiple of the target's usual time, and at most half of
+/// the time that is left, so that a silent target leaves time for another on a
+/// new connection. Later tries get all of it.
+fn try_timeout(context: &Context, slot: &Slot<'_>, request: &Request, attempt: u32) -> Duration {
     let left = request.deadline.saturating_sub(context.node.now());
-    if attempt == 1 { left / 2 } else { left }
+    if attempt > 1 {
+        return left;
+    }
+    let usual = slot.service_time() * USUAL_TIMES;
+    usual.max(MIN_TRY).min(left / 2)
 }
--- a/crates/entry/src/run/once.rs
+++ b/crates/entry/src/run/once.rs
@@ -47,7 +47,7 @@
         let wall = context.node.clock.wall();
         let row = Key::parse(&request.key, wall).map(|key| key.row(&request.service));
         let claims = context.node.claims.clone();
-        let id = format!("{}/{}", context.node.vm.name, request.id);
+        let id = format!("{}/{}/{}", context.node.vm.name, key.site, request.id);
         let record = Record::new(row.unwrap_or_default(), &id, &request.fingerprint, claims);
         Self {
             context,
@@ -119,7 +119,7 @@
             .request
             .deadline
             .saturating_sub(self.context.node.now());
-        match slot.send(self.request, left).await {
+        match slot.send(self.request, left, true).await {
             Ending::Answered {
                 status,
                 headers,
--- a/crates/entry/src/run/slot.rs
+++ b/crates/entry/src/run/slot.rs
@@ -164,6 +164,15 @@
         self.grant.target
     }
 
+    /// Mean time that the target takes for a request.
+    pub(crate) fn service_time(&self) -> Duration {
+        let state = self.context.node.state();
+        let owned = state.pools.get(self.key);
+        owned.map_or(Duration::ZERO, |owned| {
+            owned.pool.service_time(self.grant.target)
+        })
+    }
+
     /// Name of the target.
     pub(crate) fn target_name(&self) -> String {
         let state = self.context.node.state();
@@ -173,7 +182,15 @@
     }
 
     /// Sends the request to the target of this slot, and gives the slot back.
-    pub(crate) async fn send(mut self, request: &Request, timeout: Duration) -> Ending {
+    ///
+    /// The request gets a connection of its own when `fresh` says so, or when a
+    /// connection to the target has gone silent lately.
+    pub(crate) async fn send(
+        mut self,
+        request: &Request,
+        timeout: Duration,
+        fresh: bool,
+    ) -> Ending {
         let node = &self.context.node;
         let target = {
             let state = node.state();
@@ -188,6 +205,7 @@
         let settled = Settled {
             target: &target,
             timeout,
+            fresh: fresh || self.distrusts_pool(),
             deadline_ms: node.clock.wall().saturating_add(timeout_ms),
         };
         let ending = upstream::exchange(&self.context.clients, request, &settled).await;
@@ -196,10 +214,35 @@
             Ending::Shed => End::Shed,
             Ending::ConnectFailed | Ending::Broke { .. } => End::Failed,
         };
+        if !settled.fresh && matches!(ending, Ending::Broke { .. }) {
+            self.distrust_pool();
+        }
+        if matches!(ending, Ending::Answered { .. }) {
+            node.state().quarantine.succeed(&request.fingerprint);
+        }
         ending
     }
 }
 
+impl Slot<'_> {
+    fn distrusts_pool(&self) -> bool {
+        let now = self.context.node.now();
+        let state = self.context.node.state();
+        let owned = state.pools.get(self.key);
+        let until = owned.and_then(|owned| owned.distrust.get(&self.grant.target));
+        until.is_some_and(|until| now < *until)
+    }
+
+    /// Open connections to the target may all be silent: they are left to expire.
+    fn distrust_pool(&self) {
+        let until = self.context.node.now() + upstream::KEEP_ALIVE;
+        let mut state = self.context.node.state();
+        if let Some(owned) = state.pools.get_mut(self.key) {
+            owned.distrust.insert(self.grant.target, until);
+        }
+    }
+}
+
 fn class(request: &Request) -> Class {
     if request.idempotent {
         Class::Idempotent
--- a/crates/entry/src/upstream/client.rs
+++ b/crates/entry/src/upstream/client.rs
@@ -6,7 +6,8 @@
 };
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-const KEEP_ALIVE: Duration = Duration::from_secs(15);
+/// Time for which an idle connection to a target is kept.
+pub(crate) const KEEP_ALIVE: Duration = Duration::from_secs(15);
 const LIFETIME: Duration = Duration::from_mins(1);
 const PEER_TIMEOUT: Duration = Duration::from_millis(800);
 
--- a/crates/entry/src/upstream/exchange.rs
+++ b/crates/entry/src/upstream/exchange.rs
@@ -3,7 +3,7 @@
 use {
     super::Clients,
     crate::node::Request,
-    actix_web::web::Bytes,
+    actix_web::{rt::time::timeout, web::Bytes},
     awc::{
         ClientRequest, ClientResponse,
         error::{ConnectError, SendRequestError},
@@ -17,6 +17,11 @@
 /// Largest answer taken from an upstream.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
+/// A timeout that fires so late means that this process was paused.
+const PAUSE: Duration = Duration::from_millis(200);
+/// After a pause, time to read an answer that came in the meantime.
+const PAUSE_GRACE: Duration = Duration::from_millis(250);
+
 /// Headers that belong to one connection and are not passed on.
 const HOP_BY_HOP: [&str; 7] = [
     "connection",
@@ -64,17 +69,23 @@
             Err(error) => classify(&error),
         }
     };
-    let timed = actix_web::rt::time::timeout(target.timeout, whole).await;
-    timed.unwrap_or(Ending::Broke {
-        reason: Reason::UpstreamTimeout,
-        crash: false,
-    })
+    let mut whole = std::pin::pin!(whole);
+    if let Ok(ending) = timeout(target.timeout, &mut whole).await {
+        return ending;
+    }
+    let paused = start.elapsed() > target.timeout + PAUSE;
+    if paused && let Ok(ending) = timeout(PAUSE_GRACE, &mut whole).await {
+        return ending;
+    }
+    broke(Reason::UpstreamTimeout, false)
 }
 
 /// A target with the time that it has for a request.
 pub(crate) struct Settled<'a> {
     pub(crate) target: &'a Target,
     pub(crate) timeout: Duration,
+    /// Whether to open a connection for it.
+    pub(crate) fresh: bool,
     /// The same bound in milliseconds since the epoch.
     pub(crate) deadline_ms: u64,
 }
@@ -82,10 +93,10 @@
 fn build(clients: &Clients, request: &Request, target: &Settled<'_>) -> ClientRequest {
     let url = format!("http://{}{}", target.target.address, request.path);
     let method = Method::from_bytes(request.method.as_bytes()).unwrap_or(Method::GET);
-    let mut built = if request.idempotent {
-        clients.pooled.request(method, url)
-    } else {
+    let mut built = if target.fresh {
         clients.fresh.request(method, url).force_close()
+    } else {
+        clients.pooled.request(method, url)
     };
     for one in &request.headers {
         built = built.insert_header((one.name.as_str(), one.value.as_str()));
--- a/crates/entry/src/upstream/mod.rs
+++ b/crates/entry/src/upstream/mod.rs
@@ -3,5 +3,5 @@
 mod client;
 mod exchange;
 
-pub(crate) use client::Clients;
+pub(crate) use client::{Clients, KEEP_ALIVE};
 pub(crate) use exchange::{Ending, Settled, exchange};
--- /dev/null
+++ b/crates/member/tests/view.rs
@@ -0,0 +1,120 @@
+//! Membership as one VM sees it.
+
+use {
+    member::{Member, Status, Timing, View, owner},
+    std::time::Duration,
+};
+
+fn member(name: &str, boot_ms: u64, beat: u64, status: Status) -> Member {
+    Member {
+        name: name.to_owned(),
+        zone: "pasig-a".to_owned(),
+        peer: "127.0.0.1:1".to_owned(),
+        caller: "127.0.0.1:2".to_owned(),
+        boot_ms,
+        beat,
+        status,
+        control: 1,
+    }
+}
+
+fn view() -> View {
+    View::new(member("me", 1, 0, Status::Alive), Timing::default())
+}
+
+fn at(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn names(view: &View) -> Vec<&str> {
+    view.serving()
+        .iter()
+        .map(|member| member.name.as_str())
+        .collect()
+}
+
+#[test]
+fn silent_member_is_suspected_and_then_gone() {
+    let mut view = view();
+    view.heard(&member("a", 1, 0, Status::Alive), at(1));
+
+    view.fail("a", at(2));
+    view.tick(at(3));
+    assert_eq!(names(&view), ["a", "me"]);
+    view.tick(at(4));
+
+    assert_eq!(names(&view), ["me"]);
+}
+
+#[test]
+fn suspected_member_that_raises_its_counter_is_alive_again() {
+    let mut view = view();
+    view.heard(&member("a", 1, 0, Status::Alive), at(1));
+    view.fail("a", at(2));
+
+    view.merge(&[member("a", 1, 1, Status::Alive)], at(3));
+    view.tick(at(9));
+
+    assert_eq!(names(&view), ["a", "me"]);
+}
+
+#[test]
+fn vm_that_is_doubted_raises_its_own_counter() {
+    let mut view = view();
+
+    view.merge(&[member("me", 1, 4, Status::Suspect)], at(1));
+
+    assert_eq!(view.me().beat, 5);
+    assert_eq!(view.me().status, Status::Alive);
+}
+
+#[test]
+fn old_news_does_not_undo_a_leave() {
+    let mut view = view();
+    view.heard(&member("a", 1, 3, Status::Leaving), at(1));
+
+    view.merge(&[member("a", 1, 2, Status::Alive)], at(2));
+
+    assert_eq!(names(&view), ["me"]);
+}
+
+#[test]
+fn restarted_member_replaces_its_former_life() {
+    let mut view = view();
+    view.heard(&member("a", 1, 9, Status::Leaving), at(1));
+
+    view.heard(&member("a", 2, 0, Status::Alive), at(2));
+
+    assert_eq!(names(&view), ["a", "me"]);
+}
+
+#[test]
+fn news_is_told_a_bounded_number_of_times() {
+    let mut view = view();
+    view.heard(&member("a", 1, 0, Status::Alive), at(1));
+
+    let told = (0..100).filter(|_| !view.news(10).is_empty()).count();
+
+    assert!((1..20).contains(&told), "{told}");
+}
+
+#[test]
+fn owner_moves_only_when_it_leaves() {
+    let members: Vec<Member> = (0..8)
+        .map(|i| member(&format!("vm{i}"), 1, 0, Status::Alive))
+        .collect();
+    let all: Vec<&Member> = members.iter().collect();
+    let first = owner("racegate@pasig", &all, |_| 0).unwrap().name.clone();
+    let fewer: Vec<&Member> = all.iter().copied().filter(|m| m.name != first).collect();
+
+    for gone in &fewer {
+        let rest: Vec<&Member> = all
+            .iter()
+            .copied()
+            .filter(|m| m.name != gone.name)
+            .collect();
+        assert_eq!(owner("racegate@pasig", &rest, |_| 0).unwrap().name, first);
+    }
+
+    assert_ne!(owner("racegate@pasig", &fewer, |_| 0).unwrap().name, first);
+}
--- a/crates/rig/src/bin/cicadalift-try.rs
+++ b/crates/rig/src/bin/cicadalift-try.rs
@@ -2,14 +2,11 @@
 
 use {
     clap::Parser,
-    futures_util::future::join_all,
     hdrhistogram::Histogram,
-    rig::{Options, Rig, RigError, Verdict},
-    stand::caller::{Caller, Plan, Record, Told},
+    rig::{Load, Options, Rig, RigError, Verdict},
+    stand::caller::{Record, Told},
     std::{
-        cell::Cell,
         process::ExitCode,
-        rc::Rc,
         time::{Duration, Instant},
     },
     wire::{Change, Kind, Mark},
@@ -28,9 +25,6 @@
     /// Callers that send at the same time.
     #[arg(long, default_value_t = 12)]
     callers: usize,
-    /// Least requests of each caller.
-    #[arg(long, default_value_t = 40)]
-    requests: usize,
 }
 
 const STOP_TIMEOUT: Duration = Duration::from_secs(70);
@@ -63,69 +57,16 @@
         ..Options::default()
     })
     .await?;
-    let plans = plans(&rig);
-    let regions = rig.fleet.regions.len();
-    let callers: Vec<Caller> = (0..args.callers).map(|i| rig.caller(i % regions)).collect();
-    let ended = Rc::new(Cell::new(false));
-    let load = callers.into_iter().enumerate().map(|(index, caller)| {
-        actix_rt::spawn(requests(
-            caller,
-            plans.clone(),
-            index,
-            args.requests,
-            ended.clone(),
-        ))
-    });
-    let load: Vec<_> = load.collect();
+    let load = Load::start(rig.callers(args.callers), &rig.plans(SENDS), PAUSE);
     let story = events(&mut rig).await?;
     actix_rt::time::sleep(STAGE).await;
-    ended.set(true);
-    let records: Vec<Record> = join_all(load)
-        .await
-        .into_iter()
-        .flatten()
-        .flatten()
-        .collect();
+    let records = load.stop().await;
     let verdict = Verdict::of(&records, &rig.runs().await?);
     let held = verdict.holds() && story.held();
     print(&records, &verdict, &story);
     Ok(held)
 }
 
-/// Every operation of the fleet's settings.
-fn plans(rig: &Rig) -> Vec<Plan> {
-    let services = rig.fleet.services.iter();
-    let operations =
-        services.flat_map(|service| service.operations.iter().map(move |op| (service, op)));
-    operations
-        .map(|(service, op)| Plan {
-            service: service.name.clone(),
-            method: op.method.clone(),
-            path: format!("{}/7", op.path),
-            idempotent: op.idempotent,
-            timeout: Duration::from_millis(op.timeout_ms),
-            sends: SENDS,
-        })
-        .collect()
-}
-
-/// Sends at least `least` requests, and goes on until the story has ended.
-async fn requests(
-    mut caller: Caller,
-    plans: Vec<Plan>,
-    first: usize,
-    least: usize,
-    ended: Rc<Cell<bool>>,
-) -> Vec<Record> {
-    let mut records = Vec::new();
-    while records.len() < least || !ended.get() {
-        let plan = &plans[(first + records.len()) % plans.len()];
-        records.push(caller.send(plan).await);
-        actix_rt::time::sleep(PAUSE).await;
-    }
-    records
-}
-
 /// What the operator's changes and the stops came to.
 struct Story {
     preset_ms: u128,
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -4,6 +4,7 @@
 mod admin;
 mod errors;
 mod layout;
+mod load;
 mod process;
 mod rig;
 mod verdict;
@@ -11,6 +12,7 @@
 pub use admin::Admin;
 pub use errors::RigError;
 pub use layout::{Layout, Place};
+pub use load::Load;
 pub use process::Process;
-pub use rig::{Options, Rig};
+pub use rig::{Options, Rig, until};
 pub use verdict::Verdict;
--- a/crates/rig/src/rig.rs
+++ b/crates/rig/src/rig.rs
@@ -6,7 +6,7 @@
     serde_json::json,
     settings::Fleet,
     stand::{
-        caller::Caller,
+        caller::{Caller, Plan},
         fault,
         platform::Fault,
         upstream::{Behaviour, Run},
@@ -20,6 +20,8 @@
     tempfile::TempDir,
 };
 
+/// Environment variable that keeps the logs of a rig.
+const KEEP: &str = "CICADALIFT_KEEP";
 const TOKEN: &str = "operator-token-of-the-rig";
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
 const POLL: Duration = Duration::from_millis(50);
@@ -98,7 +100,11 @@
 
     fn startstands(options: Options) -> Result<Self, RigError> {
         let layout = Layout::take();
-        let folder = TempDir::new().map_err(RigError::io("folder"))?;
+        let mut folder = TempDir::new().map_err(RigError::io("folder"))?;
+        if std::env::var_os(KEEP).is_some() {
+            folder.disable_cleanup(true);
+            println!("logs and settings: {}", folder.path().display());
+        }
         let shipped = workspace()
             .join("settings")
             .join(format!("{}.yaml", options.firm));
@@ -292,6 +298,33 @@
         admitted.len() == pools
     }
 
+    /// Every operation of the fleet's settings, as a plan with so many sends.
+    #[must_use]
+    pub fn plans(&self, sends: u32) -> Vec<Plan> {
+        let services = self.fleet.services.iter();
+        let operations = services.flat_map(|s| s.operations.iter().map(move |op| (s, op)));
+        operations
+            .map(|(service, op)| Plan {
+                service: service.name.clone(),
+                method: op.method.clone(),
+                path: format!("{}/7", op.path),
+                idempotent: op.idempotent,
+                timeout: Duration::from_millis(op.timeout_ms),
+                sends,
+                token: None,
+            })
+            .collect()
+    }
+
+    /// So many callers, spread over the regions in turn.
+    #[must_use]
+    pub fn callers(&self, count: usize) -> Vec<Caller> {
+        let regions = self.fleet.regions.len();
+        (0..count)
+            .map(|index| self.caller(index % regions))
+            .collect()
+    }
+
     /// A caller whose address lies in the client block of a region.
     #[must_use]
     pub fn caller(&self, region: usize) -> Caller {
@@ -352,7 +385,22 @@
 
     /// Position of the VM that owns a pool, as the first live VM sees it.
     pub async fn owner(&self, service: &str, site: &str) -> Option<usize> {
-        for place in &self.places {
+        self.owner_seen_by_others(service, site, usize::MAX).await
+    }
+
+    /// Position of the VM that owns a pool, as the first live VM but one sees it.
+    pub async fn owner_seen_by_others(
+        &self,
+        service: &str,
+        site: &str,
+        except: usize,
+    ) -> Option<usize> {
+        let others = self
+            .places
+            .iter()
+            .enumerate()
+            .filter(|(index, _)| *index != except);
+        for (_, place) in others {
             let Ok(dump) = self.admin.dump(place).await else {
                 continue;
             };
@@ -374,7 +422,10 @@
 }
 
 /// Waits until a condition holds.
-async fn until<F, C>(what: &str, limit: Duration, condition: C) -> Result<(), RigError>
+///
+/// # Errors
+/// [`RigError::NotReady`] when that takes longer than the limit.
+pub async fn until<F, C>(what: &str, limit: Duration, condition: C) -> Result<(), RigError>
 where
     F: Future<Output = bool>,
     C: Fn() -> F,
--- /dev/null
+++ b/crates/rig/tests/answers.rs
@@ -0,0 +1,190 @@
+//! Whole and own answers, whatever targets and connections do.
+
+mod common;
+
+use {
+    common::{claim, lookup_bib, new_key, refund, runs_of},
+    rig::{Load, Options, Rig, Verdict},
+    stand::{
+        caller::{Plan, Told},
+        upstream::{Behaviour, Fault},
+    },
+    std::{
+        collections::BTreeSet,
+        time::{Duration, Instant},
+    },
+};
+
+const PAUSE: Duration = Duration::from_millis(10);
+
+fn failing(fault: Fault) -> Behaviour {
+    Behaviour {
+        service_ms: 30.0,
+        fault,
+        restart_ms: 1000,
+    }
+}
+
+#[actix_rt::test]
+async fn answer_cut_short_is_never_passed_on() {
+    let rig = Rig::start(Options::default()).await.unwrap();
+    rig.set_targets("payline", failing(Fault::CutAnswers))
+        .await
+        .unwrap();
+    rig.set_targets("bibdesk-pasig-a-1", failing(Fault::CutAnswers))
+        .await
+        .unwrap();
+    let key = new_key();
+
+    let claimed = rig
+        .caller(0)
+        .send_to(&rig.places[0].url(), &refund(), &key, 0)
+        .await;
+    let load = Load::start(rig.callers(3), &[lookup_bib()], PAUSE);
+    actix_rt::time::sleep(Duration::from_secs(2)).await;
+    let records = load.stop().await;
+
+    assert_eq!(claimed.told, Told::MayHaveRun, "{claimed:?}");
+    assert_eq!(runs_of(&rig, &key).await, 1);
+    let verdict = Verdict::of(&records, &rig.runs().await.unwrap());
+    assert!(verdict.holds(), "{verdict:?}");
+    assert_eq!(verdict.answered, verdict.sent, "{verdict:?}");
+}
+
+#[actix_rt::test]
+async fn every_caller_gets_its_own_answer_while_answers_come_late() {
+    let rig = Rig::start(Options::default()).await.unwrap();
+    let slow = Behaviour {
+        service_ms: 400.0,
+        ..failing(Fault::None)
+    };
+    rig.set_targets("bibdesk", slow).await.unwrap();
+    let hasty = Plan {
+        timeout: Duration::from_millis(450),
+        ..lookup_bib()
+    };
+    let load = Load::start(rig.callers(12), &[hasty, lookup_bib(), claim()], PAUSE);
+    actix_rt::time::sleep(Duration::from_secs(4)).await;
+
+    let records = load.stop().await;
+
+    let verdict = Verdict::of(&records, &rig.runs().await.unwrap());
+    assert!(verdict.holds(), "{verdict:?}");
+    assert!(verdict.answered > 0, "{verdict:?}");
+}
+
+#[actix_rt::test]
+async fn silent_target_costs_a_retry_and_no_answer() {
+    let rig = Rig::start(Options::default()).await.unwrap();
+    rig.set_targets("bibdesk-pasig-a-1", failing(Fault::Silent))
+        .await
+        .unwrap();
+    let load = Load::start(rig.callers(3), &[lookup_bib()], PAUSE);
+    actix_rt::time::sleep(Duration::from_secs(4)).await;
+
+    let records = load.stop().await;
+
+    let verdict = Verdict::of(&records, &rig.runs().await.unwrap());
+    assert!(verdict.holds(), "{verdict:?}");
+    assert_eq!(verdict.answered, verdict.sent, "{verdict:?}");
+}
+
+#[actix_rt::test]
+async fn connections_that_go_silent_cost_no_answer_while_new_ones_work() {
+    let rig = Rig::start(Options::default()).await.unwrap();
+    let crowd = Load::start(rig.callers(60), &[lookup_bib()], PAUSE);
+    actix_rt::time::sleep(Duration::from_secs(2)).await;
+    crowd.stop().await;
+    rig.set_targets("", failing(Fault::SilenceOpen))
+        .await
+        .unwrap();
+
+    let load = Load::start(rig.callers(3), &[lookup_bib()], PAUSE);
+    actix_rt::time::sleep(Duration::from_secs(4)).await;
+    let records = load.stop().await;
+
+    let verdict = Verdict::of(&records, &rig.runs().await.unwrap());
+    assert!(verdict.holds(), "{verdict:?}");
+    let again: Vec<_> = records
+        .iter()
+        .filter(|r| r.told != Told::Answered || r.sends > 1)
+        .collect();
+    assert!(again.is_empty(), "{again:#?}");
+}
+
+#[actix_rt::test]
+async fn target_that_is_down_proves_that_a_claim_did_not_run() {
+    let rig = Rig::start(Options::default()).await.unwrap();
+    rig.set_targets("payline-pasig-a-1", failing(Fault::Down))
+        .await
+        .unwrap();
+    rig.set_targets("payline-pasig-a-2", failing(Fault::Shed))
+        .await
+        .unwrap();
+    let load = Load::start(rig.callers(3), &[refund()], PAUSE);
+    actix_rt::time::sleep(Duration::from_secs(2)).await;
+
+    let records = load.stop().await;
+
+    let verdict = Verdict::of(&records, &rig.runs().await.unwrap());
+    assert!(verdict.holds(), "{verdict:?}");
+    assert_eq!(verdict.answered, verdict.sent, "{verdict:?}");
+}
+
+#[actix_rt::test]
+async fn poison_request_crashes_at_most_two_targets_and_is_refused_at_once() {
+    let rig = Rig::start(Options::default()).await.unwrap();
+    let poison = Plan {
+        path: "/bibs/poison".to_owned(),
+        ..lookup_bib()
+    };
+    let caller = rig.caller(0);
+
+    let mut last = None;
+    for place in rig.places.iter().chain(&rig.places) {
+        let start = Instant::now();
+        let record = caller.send_to(&place.url(), &poison, "token", 0).await;
+        last = Some((record, start.elapsed()));
+    }
+
+    let runs = rig.runs().await.unwrap();
+    let crashed: BTreeSet<&str> = runs
+        .iter()
+        .filter(|run| run.path.contains("poison"))
+        .map(|run| run.target.as_str())
+        .collect();
+    let (record, took) = last.unwrap();
+    assert!(crashed.len() <= 2, "{crashed:?}");
+    assert_eq!(record.reason, "quarantined");
+    assert!(record.retry_after_ms > 1000, "{record:?}");
+    assert!(took < poison.timeout / 2, "{took:?}");
+}
+
+#[actix_rt::test]
+async fn poison_claim_under_new_keys_crashes_at_most_two_targets() {
+    let rig = Rig::start(Options::default()).await.unwrap();
+    let poison = Plan {
+        path: "/claims/poison".to_owned(),
+        token: Some("same".to_owned()),
+        ..claim()
+    };
+    let caller = rig.caller(0);
+
+    let mut told = Vec::new();
+    for place in rig.places.iter().chain(&rig.places) {
+        told.push(
+            caller
+                .send_to(&place.url(), &poison, &new_key(), 0)
+                .await
+                .told,
+        );
+    }
+
+    let runs = rig.runs().await.unwrap();
+    let ran = runs
+        .iter()
+        .filter(|run| run.path.contains("poison"))
+        .count();
+    assert!(ran <= 2, "{ran}");
+    assert_eq!(told.last(), Some(&Told::NotRun), "{told:?}");
+}
--- a/crates/rig/tests/common/mod.rs
+++ b/crates/rig/tests/common/mod.rs
@@ -28,5 +28,38 @@
         idempotent,
         timeout: Duration::from_secs(2),
         sends: 4,
+        token: None,
     }
 }
+
+/// Runs of a key so far.
+pub(crate) async fn runs_of(rig: &rig::Rig, key: &str) -> usize {
+    let runs = rig.runs().await.unwrap();
+    runs.iter().filter(|run| run.key == key).count()
+}
+
+/// Waits until every VM has at least that version in force.
+pub(crate) async fn until_all_at(rig: &rig::Rig, version: u64, limit: Duration) {
+    let reached = || async {
+        for place in &rig.places {
+            if rig.admin.version(place).await < Some(version) {
+                return false;
+            }
+        }
+        true
+    };
+    rig::until("the version everywhere", limit, reached)
+        .await
+        .unwrap();
+}
+
+/// A key as callers should make them.
+pub(crate) fn new_key() -> String {
+    uuid::Uuid::now_v7().to_string()
+}
+
+/// Milliseconds since the epoch.
+pub(crate) fn wall_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/rig/tests/control.rs
@@ -0,0 +1,302 @@
+//! The control document: races of operators, cuts, and marks.
+
+mod common;
+
+use {
+    common::{claim, lookup_bib, new_key, until_all_at},
+    rig::{Load, Options, Rig, Verdict, until},
+    stand::{
+        caller::Told,
+        fault::{Mode, Setting},
+    },
+    std::{collections::BTreeSet, time::Duration},
+    wire::{Change, Decision, Kind, Mark, Verdict as Word},
+};
+
+const LIMIT: Duration = Duration::from_secs(20);
+const PAUSE: Duration = Duration::from_millis(20);
+/// Time in which a marked upstream may still get new work anywhere.
+const LEAVING_LIMIT: Duration = Duration::from_secs(5);
+
+fn with_faults() -> Options {
+    Options {
+        faults: true,
+        ..Options::default()
+    }
+}
+
+fn switch(name: &str, expect: u64) -> Change {
+    Change::Preset {
+        name: name.to_owned(),
+        expect,
+    }
+}
+
+fn leave(kind: Kind, name: &str) -> Change {
+    Change::Leaving(Mark {
+        kind,
+        name: name.to_owned(),
+    })
+}
+
+fn setting(mode: Mode) -> Setting {
+    Setting {
+        mode,
+        ..Setting::default()
+    }
+}
+
+#[actix_rt::test]
+async fn two_operators_switching_at_once_one_wins_and_both_are_told() {
+    let rig = Rig::start(Options::default()).await.unwrap();
+
+    let (a, b): (Decision, Decision) = {
+        let a = rig.admin.change(&rig.places[0], switch("peak", 1));
+        let b = rig.admin.change(&rig.places[3], switch("maintenance", 1));
+        let (a, b) = futures_util::future::join(a, b).await;
+        (a.unwrap(), b.unwrap())
+    };
+
+    let verdicts = [a.verdict, b.verdict];
+    let (winner, loser) = if a.verdict == Word::Accepted {
+        (a, b)
+    } else {
+        (b, a)
+    };
+    assert!(verdicts.contains(&Word::Accepted) && verdicts.contains(&Word::Conflict));
+    assert!(
+        loser.detail.contains(&winner.document.preset),
+        "{}",
+        loser.detail
+    );
+    until_all_at(&rig, winner.document.version, LIMIT).await;
+    for place in &rig.places {
+        let dump = rig.admin.dump(place).await.unwrap();
+        assert_eq!(dump["control"]["preset"], winner.document.preset);
+    }
+}
+
+#[actix_rt::test]
+async fn switch_and_drains_at_once_are_all_kept() {
+    let rig = Rig::start(Options::default()).await.unwrap();
+    let changes = [
+        switch("peak", 1),
+        leave(Kind::Zone, "cebu-a"),
+        leave(Kind::Target, "payline-pasig-a-1"),
+        leave(Kind::ServiceZone, "bibdesk/davao-b"),
+    ];
+    let calls = changes
+        .into_iter()
+        .zip(&rig.places)
+        .map(|(change, place)| rig.admin.change(place, change));
+
+    let decisions = futures_util::future::join_all(calls).await;
+
+    let decisions: Vec<Decision> = decisions.into_iter().map(Result::unwrap).collect();
+    assert!(
+        decisions.iter().all(|d| d.verdict == Word::Accepted),
+        "{decisions:#?}"
+    );
+    until_all_at(&rig, 5, LIMIT).await;
+    let dump = rig.admin.dump(&rig.places[5]).await.unwrap();
+    assert_eq!(dump["control"]["preset"], "peak");
+    assert_eq!(dump["control"]["marks"].as_array().map(Vec::len), Some(3));
+}
+
+#[actix_rt::test]
+async fn no_vm_is_seen_to_step_back() {
+    let rig = Rig::start(with_faults()).await.unwrap();
+    let mut highest = vec![0; rig.places.len()];
+    let mut version = 1;
+    for round in 0..6_usize {
+        let cut = &rig.places[round % rig.places.len()].name;
+        let mode = if round % 2 == 0 {
+            Mode::Cut
+        } else {
+            Mode::Pass
+        };
+        rig.route_fault(&format!("{cut}>platform"), setting(mode))
+            .await
+            .unwrap();
+        let preset = if round % 2 == 0 { "peak" } else { "ordinary" };
+        let vm = &rig.places[(round + 1) % rig.places.len()];
+        let decision = rig.admin.change(vm, switch(preset, version)).await.unwrap();
+        version = decision.document.version;
+        for (seen, place) in highest.iter_mut().zip(&rig.places) {
+            let now = rig.admin.version(place).await.unwrap();
+            assert!(now >= *seen, "{} went from {seen} to {now}", place.name);
+            *seen = now;
+        }
+    }
+    until_all_at(&rig, version, LIMIT).await;
+}
+
+#[actix_rt::test]
+async fn mark_reaches_a_vm_that_is_cut_from_the_platform() {
+    let rig = Rig::start(with_faults()).await.unwrap();
+    let cut = &rig.places[4];
+    rig.route_fault(&format!("{}>platform", cut.name), setting(Mode::Cut))
+        .await
+        .unwrap();
+
+    let change = leave(Kind::Zone, "pasig-a");
+    let decision = rig.admin.change(&rig.places[0], change).await.unwrap();
+
+    assert_eq!(decision.verdict, Word::Accepted);
+    until("the mark", LEAVING_LIMIT, || async {
+        rig.admin.version(cut).await == Some(2)
+    })
+    .await
+    .unwrap();
+}
+
+#[actix_rt::test]
+async fn vm_cut_from_platform_and_peers_takes_no_new_work() {
+    let rig = Rig::start(with_faults()).await.unwrap();
+    let alone = &rig.places[0];
+    for other in &rig.places {
+        let out = format!("{}>{}", alone.name, other.name);
+        let back = format!("{}>{}", other.name, alone.name);
+        rig.route_fault(&out, setting(Mode::Freeze)).await.unwrap();
+        rig.route_fault(&back, setting(Mode::Freeze)).await.unwrap();
+    }
+    rig.route_fault(&format!("{}>platform", alone.name), setting(Mode::Cut))
+        .await
+        .unwrap();
+
+    let closed = || async { !rig.admin.ready(alone).await };
+    until("the isolated VM", LEAVING_LIMIT, closed)
+        .await
+        .unwrap();
+    let refused = rig
+        .caller(0)
+        .send_to(&alone.url(), &lookup_bib(), "token", 0)
+        .await;
+    for other in &rig.places {
+        let out = format!("{}>{}", alone.name, other.name);
+        let back = format!("{}>{}", other.name, alone.name);
+        rig.route_fault(&out, Setting::default()).await.unwrap();
+        rig.route_fault(&back, Setting::default()).await.unwrap();
+    }
+
+    assert_eq!(
+        (refused.told, refused.reason.as_str()),
+        (Told::NotRun, "not-ready")
+    );
+    until("the healed VM", LIMIT, || async {
+        rig.admin.ready(alone).await
+    })
+    .await
+    .unwrap();
+}
+
+#[actix_rt::test]
+async fn accepted_change_names_the_vms_that_did_not_confirm() {
+    let rig = Rig::start(with_faults()).await.unwrap();
+    let route = format!("{}>{}", rig.places[0].name, rig.places[2].name);
+    rig.route_fault(&route, setting(Mode::Freeze))
+        .await
+        .unwrap();
+
+    let decision = rig
+        .admin
+        .change(&rig.places[0], switch("peak", 1))
+        .await
+        .unwrap();
+
+    assert_eq!(decision.verdict, Word::Accepted);
+    assert_eq!(decision.unconfirmed, vec![rig.places[2].name.clone()]);
+    let reached = || async { rig.admin.version(&rig.places[2]).await == Some(2) };
+    until("the other ways", LIMIT, reached).await.unwrap();
+}
+
+#[actix_rt::test]
+async fn one_way_cut_between_two_vms_disturbs_no_request() {
+    let rig = Rig::start(with_faults()).await.unwrap();
+    let route = format!("{}>{}", rig.places[0].name, rig.places[1].name);
+    let load = Load::start(rig.callers(6), &rig.plans(6), PAUSE);
+    rig.route_fault(&route, setting(Mode::FreezeBack))
+        .await
+        .unwrap();
+    actix_rt::time::sleep(Duration::from_secs(4)).await;
+
+    let records = load.stop().await;
+
+    let verdict = Verdict::of(&records, &rig.runs().await.unwrap());
+    assert!(verdict.holds(), "{verdict:?}");
+    assert!(verdict.answered * 100 >= verdict.sent * 99, "{verdict:?}");
+}
+
+#[actix_rt::test]
+async fn regions_that_lose_each_other_both_serve_and_agree_afterwards() {
+    let rig = Rig::start(with_faults()).await.unwrap();
+    let sides: (Vec<_>, Vec<_>) = rig
+        .places
+        .iter()
+        .partition(|place| place.zone.starts_with("davao"));
+    let mut routes = Vec::new();
+    for a in &sides.0 {
+        for b in &sides.1 {
+            routes.push(format!("{}>{}", a.name, b.name));
+            routes.push(format!("{}>{}", b.name, a.name));
+        }
+        routes.push(format!("{}>platform", a.name));
+    }
+    let load = Load::start(rig.callers(6), &[lookup_bib(), claim()], PAUSE);
+    for route in &routes {
+        rig.route_fault(route, setting(Mode::Freeze)).await.unwrap();
+    }
+    actix_rt::time::sleep(Duration::from_secs(6)).await;
+    let near = sides.1[0];
+    let far = sides.0[0];
+    let decision = rig.admin.change(near, switch("peak", 1)).await.unwrap();
+    let there = rig
+        .caller(2)
+        .send_to(&far.url(), &lookup_bib(), "token", 0)
+        .await;
+    let claimed = rig
+        .caller(2)
+        .send_to(&far.url(), &claim(), &new_key(), 0)
+        .await;
+    for route in &routes {
+        rig.route_fault(route, Setting::default()).await.unwrap();
+    }
+    until_all_at(&rig, decision.document.version, LIMIT).await;
+
+    let records = load.stop().await;
+
+    assert_eq!(decision.verdict, Word::Accepted);
+    assert_eq!(there.told, Told::Answered, "{there:?}");
+    assert_ne!(claimed.told, Told::Answered, "{claimed:?}");
+    let verdict = Verdict::of(&records, &rig.runs().await.unwrap());
+    assert!(verdict.holds(), "{verdict:?}");
+}
+
+#[actix_rt::test]
+async fn leaving_target_finishes_what_it_has_and_gets_nothing_new() {
+    let options = Options {
+        service_ms: 300.0,
+        ..Options::default()
+    };
+    let rig = Rig::start(options).await.unwrap();
+    let load = Load::start(rig.callers(9), &rig.plans(6), PAUSE);
+    actix_rt::time::sleep(Duration::from_secs(1)).await;
+
+    let change = leave(Kind::Zone, "cebu-b");
+    let decision = rig.admin.change(&rig.places[0], change).await.unwrap();
+    let accepted_ms = common::wall_ms();
+    actix_rt::time::sleep(Duration::from_secs(2)).await;
+    let records = load.stop().await;
+
+    let runs = rig.runs().await.unwrap();
+    let there: BTreeSet<&str> = runs
+        .iter()
+        .filter(|run| run.zone == "cebu-b" && run.at_ms > accepted_ms)
+        .map(|run| run.target.as_str())
+        .collect();
+    let verdict = Verdict::of(&records, &runs);
+    assert_eq!(decision.unconfirmed, Vec::<String>::new());
+    assert_eq!(there, BTreeSet::new());
+    assert!(verdict.holds(), "{verdict:?}");
+    assert_eq!(verdict.answered, verdict.sent, "{verdict:?}");
+}
--- /dev/null
+++ b/crates/rig/tests/store.rs
@@ -0,0 +1,188 @@
+//! Outages of the platform: down, slow, silent, and answers that are lost.
+
+mod common;
+
+use {
+    common::{claim, lookup_bib, new_key, refund, runs_of},
+    rig::{Load, Options, Rig, Verdict, until},
+    stand::{
+        caller::Told,
+        platform::{Fault, Mode},
+    },
+    std::time::Duration,
+    wire::{Change, Verdict as Word},
+};
+
+const LIMIT: Duration = Duration::from_secs(20);
+const PAUSE: Duration = Duration::from_millis(20);
+
+fn down() -> Fault {
+    Fault {
+        mode: Mode::Down,
+        ..Fault::default()
+    }
+}
+
+#[actix_rt::test]
+async fn without_the_platform_claims_are_refused_at_once_and_lookups_go_on() {
+    let rig = Rig::start(Options::default()).await.unwrap();
+    let caller = rig.caller(0);
+    rig.platform_fault(&down()).await.unwrap();
+
+    let key = new_key();
+    let refused = caller
+        .send_to(&rig.places[0].url(), &claim(), &key, 0)
+        .await;
+    let unsure = caller
+        .send_to(&rig.places[0].url(), &claim(), &key, 1)
+        .await;
+    let served = caller
+        .send_to(&rig.places[0].url(), &lookup_bib(), "token", 0)
+        .await;
+
+    assert_eq!(
+        (refused.told, refused.reason.as_str()),
+        (Told::NotRun, "store-down")
+    );
+    assert!(refused.retry_after_ms > 0);
+    assert_eq!(
+        (unsure.told, unsure.reason.as_str()),
+        (Told::MayHaveRun, "store-down")
+    );
+    assert_eq!(served.told, Told::Answered);
+    assert_eq!(runs_of(&rig, &key).await, 0);
+}
+
+#[actix_rt::test]
+async fn claims_survive_lost_answers_of_the_platform() {
+    let rig = Rig::start(Options::default()).await.unwrap();
+    let load = Load::start(rig.callers(6), &[claim(), refund()], PAUSE);
+    for _ in 0..8 {
+        let fault = Fault {
+            lose_answers: 2,
+            lose_commits: 1,
+            ..Fault::default()
+        };
+        rig.platform_fault(&fault).await.unwrap();
+        actix_rt::time::sleep(Duration::from_millis(250)).await;
+    }
+    rig.platform_fault(&Fault::default()).await.unwrap();
+
+    let records = load.stop().await;
+
+    let verdict = Verdict::of(&records, &rig.runs().await.unwrap());
+    assert!(verdict.holds(), "{verdict:?}");
+    assert!(verdict.answered > verdict.sent / 2, "{verdict:?}");
+}
+
+#[actix_rt::test]
+async fn promises_hold_while_the_platform_comes_and_goes() {
+    let rig = Rig::start(Options::default()).await.unwrap();
+    let load = Load::start(rig.callers(9), &rig.plans(4), PAUSE);
+    let slow = Fault {
+        delay_ms: 1500,
+        ..Fault::default()
+    };
+    let hang = Fault {
+        mode: Mode::Hang,
+        ..Fault::default()
+    };
+    for fault in [
+        down(),
+        Fault::default(),
+        slow,
+        Fault::default(),
+        hang,
+        Fault::default(),
+    ] {
+        rig.platform_fault(&fault).await.unwrap();
+        actix_rt::time::sleep(Duration::from_millis(1500)).await;
+    }
+
+    let records = load.stop().await;
+
+    let verdict = Verdict::of(&records, &rig.runs().await.unwrap());
+    assert!(verdict.holds(), "{verdict:?}");
+    let lookups = records.iter().filter(|record| record.key.is_empty());
+    let failed: Vec<_> = lookups
+        .filter(|record| record.told != Told::Answered)
+        .collect();
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
+#[actix_rt::test]
+async fn vm_started_in_an_outage_serves_the_highest_version() {
+    let mut rig = Rig::start(Options::default()).await.unwrap();
+    let change = Change::Preset {
+        name: "peak".to_owned(),
+        expect: 1,
+    };
+    let decision = rig.admin.change(&rig.places[0], change).await.unwrap();
+    assert_eq!(decision.verdict, Word::Accepted);
+    rig.vms[5].kill();
+    rig.platform_fault(&down()).await.unwrap();
+
+    rig.start_vm(5).unwrap();
+    until("the VM", LIMIT, || async {
+        rig.admin.ready(&rig.places[5]).await
+    })
+    .await
+    .unwrap();
+
+    assert_eq!(rig.admin.version(&rig.places[5]).await, Some(2));
+}
+
+#[actix_rt::test]
+async fn vm_started_without_platform_and_peers_is_not_ready() {
+    let mut rig = Rig::start(Options::default()).await.unwrap();
+    rig.platform_fault(&down()).await.unwrap();
+    for vm in &mut rig.vms {
+        vm.kill();
+    }
+
+    rig.start_vm(0).unwrap();
+    until("the dump", LIMIT, || async {
+        rig.admin.dump(&rig.places[0]).await.is_ok()
+    })
+    .await
+    .unwrap();
+    let record = rig
+        .caller(0)
+        .send_to(&rig.places[0].url(), &lookup_bib(), "token", 0)
+        .await;
+
+    assert!(!rig.admin.ready(&rig.places[0]).await);
+    assert_eq!(
+        (record.told, record.reason.as_str()),
+        (Told::NotRun, "not-ready")
+    );
+}
+
+#[actix_rt::test]
+async fn operator_is_told_the_truth_when_the_platform_is_down_or_answers_are_lost() {
+    let rig = Rig::start(Options::default()).await.unwrap();
+    let switch = |name: &str, expect| Change::Preset {
+        name: name.to_owned(),
+        expect,
+    };
+    rig.platform_fault(&down()).await.unwrap();
+    let refused = rig
+        .admin
+        .change(&rig.places[0], switch("peak", 1))
+        .await
+        .unwrap();
+    let lost = Fault {
+        lose_answers: 1,
+        ..Fault::default()
+    };
+    rig.platform_fault(&lost).await.unwrap();
+    let accepted = rig
+        .admin
+        .change(&rig.places[0], switch("peak", 1))
+        .await
+        .unwrap();
+
+    assert_eq!(refused.verdict, Word::Invalid, "{}", refused.detail);
+    assert_eq!(accepted.verdict, Word::Accepted, "{}", accepted.detail);
+    assert_eq!(accepted.document.version, 2);
+}
--- a/crates/settings/src/file.rs
+++ b/crates/settings/src/file.rs
@@ -39,7 +39,8 @@
 /// Keeps the first line of a parser's message: the rest draws the source text.
 fn one_line(message: &str) -> String {
     let first = message.lines().find(|line| !line.trim().is_empty());
-    first.unwrap_or("not YAML").trim().to_owned()
+    let line = first.unwrap_or("not YAML").trim();
+    line.strip_prefix("error: ").unwrap_or(line).to_owned()
 }
 
 fn invalid(path: &Path, faults: Vec<Fault>) -> LoadError {
--- a/crates/stand/src/caller/client.rs
+++ b/crates/stand/src/caller/client.rs
@@ -31,6 +31,8 @@
     pub timeout: Duration,
     /// Most sends of the request.
     pub sends: u32,
+    /// Token that makes the request the same each time; a new one without it.
+    pub token: Option<String>,
 }
 
 /// A caller of one client address. It keeps the last look-up while that lives.
@@ -64,7 +66,8 @@
     /// Sends a request until it has an end: an answer, a doubt that stays, or no
     /// sends left. Waits between sends as told.
     pub async fn send(&mut self, plan: &Plan) -> Record {
-        let token = Uuid::new_v4().simple().to_string();
+        let fresh = || Uuid::new_v4().simple().to_string();
+        let token = plan.token.clone().unwrap_or_else(fresh);
         let key = if plan.idempotent {
             String::new()
         } else {
@@ -121,7 +124,7 @@
     pub async fn send_to(&self, url: &str, plan: &Plan, key: &str, unresolved: u32) -> Record {
         let mut record = Record {
             service: plan.service.clone(),
-            token: key.to_owned(),
+            token: plan.token.clone().unwrap_or_else(|| key.to_owned()),
             key: key.to_owned(),
             told: Told::Nothing,
             reason: String::new(),
--- a/crates/stand/src/upstream/control.rs
+++ b/crates/stand/src/upstream/control.rs
@@ -38,7 +38,7 @@
             .app_data(shared.clone())
             .route("/runs", web::get().to(runs))
             .route("/sheds", web::get().to(sheds))
-            .route("/targets/{name}", web::post().to(set))
+            .route("/targets/{name:.*}", web::post().to(set))
     })
     .workers(1)
     .bind(control)?
--- a/crates/stand/src/upstream/target.rs
+++ b/crates/stand/src/upstream/target.rs
@@ -33,6 +33,8 @@
     None,
     /// It runs requests and never answers.
     Silent,
+    /// Connections that are open go silent for good; new ones work.
+    SilenceOpen,
     /// It breaks off in the middle of each answer.
     CutAnswers,
     /// It refuses every request as not run.
@@ -83,6 +85,8 @@
     /// Raised by each crash; connections of an earlier life are closed.
     life: AtomicU64,
     down_until_ms: AtomicU64,
+    /// Raised when open connections go silent.
+    silenced: AtomicU64,
     log: Arc<Log>,
 }
 
@@ -95,6 +99,7 @@
             running: AtomicU32::new(0),
             life: AtomicU64::new(0),
             down_until_ms: AtomicU64::new(0),
+            silenced: AtomicU64::new(0),
             log,
         }
     }
@@ -107,6 +112,9 @@
     }
 
     pub(crate) fn set(&self, behaviour: Behaviour) {
+        if behaviour.fault == Fault::SilenceOpen {
+            self.silenced.fetch_add(1, Ordering::SeqCst);
+        }
         *self
             .behaviour
             .lock()
@@ -162,6 +170,7 @@
 
 async fn connection(mut stream: TcpStream, target: Arc<Target>) {
     let life = target.life.load(Ordering::SeqCst);
+    let silenced = target.silenced.load(Ordering::SeqCst);
     let mut pending = Vec::new();
     loop {
         let read = tokio::select! {
@@ -171,6 +180,10 @@
         let Ok(Some(request)) = read else {
             return;
         };
+        if target.silenced.load(Ordering::SeqCst) != silenced {
+            actix_web::rt::time::sleep(SILENCE).await;
+            return;
+        }
         let close = request.close;
         if answer(&mut stream, &target, life, &request).await.is_err() || close {
             return;
--- a/crates/steer/src/budget.rs
+++ b/crates/steer/src/budget.rs
@@ -1,7 +1,9 @@
 //! A budget for retries, so that retries cannot multiply load.
 
 const DEPOSIT: f64 = 0.1;
-const MAX_TOKENS: f64 = 10.0;
+/// What a quiet spell may save up, for a burst of failures.
+const MAX_TOKENS: f64 = 100.0;
+const FIRST_TOKENS: f64 = 10.0;
 
 /// Each first try pays a tenth of a retry in; each retry takes one out.
 #[derive(Debug, Clone)]
@@ -11,7 +13,9 @@
 
 impl Default for Budget {
     fn default() -> Self {
-        Self { tokens: MAX_TOKENS }
+        Self {
+            tokens: FIRST_TOKENS,
+        }
     }
 }
 
--- a/crates/steer/src/pool.rs
+++ b/crates/steer/src/pool.rs
@@ -338,6 +338,14 @@
         waiters.map(|waiter| waiter.ticket).collect()
     }
 
+    /// Mean time that a target takes for a request.
+    #[must_use]
+    pub fn service_time(&self, target: usize) -> Duration {
+        let target = self.targets.get(target);
+        let ms = target.map_or(FIRST_SERVICE_MS, |target| target.service_ms);
+        Duration::from_secs_f64(ms / 1000.0)
+    }
+
     /// When a refused request should come back.
     #[must_use]
     pub fn retry_after(&self, class: Class, now: Duration) -> Duration {
--- a/crates/steer/src/quarantine.rs
+++ b/crates/steer/src/quarantine.rs
@@ -10,6 +10,8 @@
 struct Record {
     count: u32,
     expires: Duration,
+    /// Answered since its last crash-like end, so others' counts do not bind.
+    answered: bool,
 }
 
 /// Counts crash-like ends by the fingerprint of the request.
@@ -28,23 +30,32 @@
             .or_insert(Record {
                 count: 0,
                 expires: now,
+                answered: false,
             });
         record.count += 1;
         record.expires = now + MEMORY;
         record.count
     }
 
+    /// Notes an answer: the request only shared a target with one that crashed it.
+    pub fn succeed(&mut self, fingerprint: &str) {
+        if let Some(record) = self.records.get_mut(fingerprint) {
+            record.count = 0;
+            record.answered = true;
+        }
+    }
+
     /// Takes over what another VM counted, when that is more.
     pub fn merge(&mut self, fingerprint: &str, count: u32, left: Duration, now: Duration) {
         let left = left.min(MEMORY);
-        let known = self
-            .records
-            .get(fingerprint)
-            .map_or(0, |record| record.count);
-        if count > known {
+        let known = self.records.get(fingerprint);
+        let counted = known.map_or(0, |record| record.count);
+        let answered = known.is_some_and(|record| record.answered && now < record.expires);
+        if count > counted && !answered {
             let record = Record {
                 count,
                 expires: now + left,
+                answered: false,
             };
             self.records.insert(fingerprint.to_owned(), record);
         }
@@ -61,7 +72,10 @@
     /// Everything that is counted: fingerprint, count and time left.
     #[must_use]
     pub fn records(&self, now: Duration) -> Vec<(&str, u32, Duration)> {
-        let live = self.records.iter().filter(|(_, r)| now < r.expires);
+        let live = self
+            .records
+            .iter()
+            .filter(|(_, r)| now < r.expires && r.count > 0);
         live.map(|(f, r)| (f.as_str(), r.count, r.expires.saturating_sub(now)))
             .collect()
     }
--- /dev/null
+++ b/crates/steer/tests/atlas.rs
@@ -0,0 +1,51 @@
+//! Client blocks.
+
+use {proptest::prelude::*, settings::Block, std::net::Ipv4Addr, steer::Atlas};
+
+fn block(first: u32, prefix: u8, region: usize) -> Block {
+    let mask = u32::MAX.checked_shl(32 - u32::from(prefix)).unwrap_or(0);
+    Block {
+        first: Ipv4Addr::from(first & mask),
+        prefix,
+        region,
+    }
+}
+
+/// The most specific block that holds the address, by looking at all of them.
+fn search(blocks: &[Block], address: u32) -> Option<usize> {
+    let holds = |block: &&Block| {
+        let mask = u32::MAX
+            .checked_shl(32 - u32::from(block.prefix))
+            .unwrap_or(0);
+        address & mask == u32::from(block.first)
+    };
+    let found = blocks.iter().filter(holds).max_by_key(|block| block.prefix);
+    found.map(|block| block.region)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn finds_the_most_specific_block(
+        parts in prop::collection::vec((any::<u32>(), 1_u8..=24), 0..40),
+        addresses in prop::collection::vec(any::<u32>(), 0..60),
+    ) {
+        let mut blocks: Vec<Block> = Vec::new();
+        for (index, (first, prefix)) in parts.iter().enumerate() {
+            let one = block(*first, *prefix, index % 5);
+            if !blocks.iter().any(|held| (held.first, held.prefix) == (one.first, one.prefix)) {
+                blocks.push(one);
+            }
+        }
+        let atlas = Atlas::build(&blocks);
+        let firsts = blocks.iter().map(|block| u32::from(block.first));
+        for address in addresses.iter().copied().chain(firsts) {
+            prop_assert_eq!(atlas.region(Ipv4Addr::from(address)), search(&blocks, address));
+        }
+    }
+}
--- /dev/null
+++ b/crates/steer/tests/quarantine.rs
@@ -0,0 +1,45 @@
+//! Counts of crash-like ends.
+
+use {
+    std::time::Duration,
+    steer::{QUARANTINE_LIMIT, Quarantine},
+};
+
+const NOW: Duration = Duration::from_secs(100);
+const LATER: Duration = Duration::from_secs(500);
+
+#[test]
+fn request_is_refused_after_the_limit_and_free_again_later() {
+    let mut quarantine = Quarantine::default();
+
+    for count in 1..=QUARANTINE_LIMIT {
+        assert_eq!(quarantine.blocked("a", NOW), None);
+        assert_eq!(quarantine.note("a", NOW), count);
+    }
+
+    assert!(quarantine.blocked("a", NOW).is_some());
+    assert_eq!(quarantine.blocked("b", NOW), None);
+    assert_eq!(quarantine.blocked("a", LATER), None);
+}
+
+#[test]
+fn counts_of_other_vms_bind() {
+    let mut quarantine = Quarantine::default();
+
+    quarantine.merge("a", QUARANTINE_LIMIT, Duration::from_secs(9), NOW);
+
+    assert_eq!(quarantine.blocked("a", NOW), Some(Duration::from_secs(9)));
+}
+
+#[test]
+fn request_that_is_answered_between_crashes_is_not_refused() {
+    let mut quarantine = Quarantine::default();
+
+    for _ in 0..5 {
+        quarantine.note("a", NOW);
+        quarantine.succeed("a");
+        quarantine.merge("a", 1, Duration::from_mins(1), NOW);
+    }
+
+    assert_eq!(quarantine.blocked("a", NOW), None);
+}
