--- a/crates/rig/src/rig.rs
+++ b/crates/rig/src/rig.rs
@@ -41,6 +41,8 @@
     pub log: String,
     /// Seed of the stand-ins.
     pub seed: u64,
+    /// Pieces of the shipped settings to replace, each with its replacement.
+    pub replace: Vec<(String, String)>,
 }
 
 impl Default for Options {
@@ -52,6 +54,7 @@
             faults: false,
             log: "info".to_owned(),
             seed: 1,
+            replace: Vec::new(),
         }
     }
 }
@@ -109,6 +112,10 @@
             .join("settings")
             .join(format!("{}.yaml", options.firm));
         let text = fs::read_to_string(&shipped).map_err(RigError::io("fleet settings"))?;
+        let text = options
+            .replace
+            .iter()
+            .fold(text, |text, (old, new)| text.replace(old, new));
         let path = folder.path().join("fleet.yaml");
         fs::write(&path, layout.fleet(&text)).map_err(RigError::io("fleet settings"))?;
         let fleet =
--- a/crates/steer/src/window.rs
+++ b/crates/steer/src/window.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-const BUCKETS: usize = 101;
+const BUCKETS: usize = 110;
 const BUCKET_MS: u64 = 10;
 
 /// Counts events so that no second, wherever it starts, holds more than the limit.
 ///
-/// The window spans one bucket more than a second, so the rounding to buckets
-/// errs towards fewer events.
+/// The window spans a tenth more than a second: events that reach an upstream up
+/// to that much closer together than they were sent still keep to the limit.
 #[derive(Debug, Clone)]
 pub struct Window {
     limit: u32,
