--- a/crates/entry/src/launch.rs
+++ b/crates/entry/src/launch.rs
@@ -119,6 +119,7 @@
     .start();
     log::info!(event = "started", vm = node.vm.name.as_str(), zone = node.vm.zone.as_str(); "started");
 
+    actix::spawn(reload_on_signal(node.clone()));
     stop_signal().await?;
     drain(&node).await;
     for server in [callers, peers, operators] {
@@ -223,6 +224,27 @@
     Ok(handle)
 }
 
+/// Reads the fleet settings anew at each SIGHUP; a bad file changes nothing.
+async fn reload_on_signal(node: Arc<Node>) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+        return;
+    };
+    while hangup.recv().await.is_some() {
+        let now = node.now();
+        match settings::load_fleet(&node.vm.fleet) {
+            Ok(fleet) if node.state().reload(&fleet, now) => {
+                log::info!(event = "settings_reloaded"; "fleet settings in force");
+            }
+            Ok(_) => {
+                log::warn!(event = "settings_rejected", reason = "targets differ"; "restart the process for new targets");
+            }
+            Err(error) => {
+                log::warn!(event = "settings_rejected", reason:% = error; "fleet settings kept");
+            }
+        }
+    }
+}
+
 async fn stop_signal() -> eyre::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- a/crates/entry/src/node/state.rs
+++ b/crates/entry/src/node/state.rs
@@ -72,6 +72,24 @@
         true
     }
 
+    /// Puts new fleet settings in force; false when they move targets, which needs
+    /// a restart of the process.
+    pub(crate) fn reload(&mut self, fleet: &Fleet, now: Duration) -> bool {
+        let same = |key: &PoolKey, new: &Owned| {
+            let held = self.pools.get(key);
+            held.is_some_and(|held| held.targets == new.targets)
+        };
+        let pools = build_pools(fleet);
+        let unmoved = pools.len() == self.pools.len() && pools.iter().all(|(k, o)| same(k, o));
+        if !unmoved {
+            return false;
+        }
+        self.atlas = Atlas::build(&fleet.clients);
+        self.fleet = fleet.clone();
+        self.enforce(now);
+        true
+    }
+
     /// Applies marks and caps of the document in force to all pools.
     fn enforce(&mut self, now: Duration) {
         let Some(document) = self.replica.current().cloned() else {
--- /dev/null
+++ b/crates/measure/src/result.rs
@@ -0,0 +1,82 @@
+//! What one policy did in one scene.
+
+use {hdrhistogram::Histogram, stand::caller::Told, std::time::Duration};
+
+const LONGEST_US: u64 = 600_000_000;
+const DIGITS: u8 = 3;
+
+/// Counts and times of one policy in one scene.
+pub struct Cell {
+    /// Requests that were to be sent.
+    pub sent: u64,
+    /// Whole answers inside the deadline.
+    pub answered: u64,
+    /// Requests told that they did not run.
+    pub refused: u64,
+    /// Everything else.
+    pub other: u64,
+    /// Answers a second in the counted time, per slot-second of capacity.
+    pub goodput: f64,
+    /// Times of answers from the intended send, in microseconds.
+    pub answers: Histogram<u64>,
+    /// Times of refusals, in microseconds.
+    pub refusals: Histogram<u64>,
+    /// Requests that upstreams ran beyond their slots or refused because of them.
+    pub beyond_slots: u64,
+}
+
+impl Cell {
+    /// An empty cell.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            sent: 0,
+            answered: 0,
+            refused: 0,
+            other: 0,
+            goodput: 0.0,
+            answers: histogram(),
+            refusals: histogram(),
+            beyond_slots: 0,
+        }
+    }
+
+    /// Notes the end of one request.
+    pub fn note(&mut self, told: Told, took: Duration) {
+        let micros = u64::try_from(took.as_micros()).unwrap_or(LONGEST_US);
+        self.sent += 1;
+        match told {
+            Told::Answered => {
+                self.answered += 1;
+                self.answers.saturating_record(micros);
+            }
+            Told::NotRun => {
+                self.refused += 1;
+                self.refusals.saturating_record(micros);
+            }
+            Told::WrongAnswer | Told::MayHaveRun | Told::Nothing => self.other += 1,
+        }
+    }
+
+    /// A quantile of the answers' times.
+    #[must_use]
+    pub fn answer(&self, quantile: f64) -> Duration {
+        Duration::from_micros(self.answers.value_at_quantile(quantile))
+    }
+
+    /// A quantile of the refusals' times.
+    #[must_use]
+    pub fn refusal(&self, quantile: f64) -> Duration {
+        Duration::from_micros(self.refusals.value_at_quantile(quantile))
+    }
+}
+
+impl Default for Cell {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, LONGEST_US, DIGITS).expect("the bounds are valid")
+}
--- /dev/null
+++ b/crates/measure/src/scene.rs
@@ -0,0 +1,57 @@
+//! What happens while a load runs.
+
+/// A fault in the middle of a scene.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// None.
+    Nothing,
+    /// One target takes ten times as long.
+    SlowTarget,
+    /// One target accepts and never answers.
+    SilentTarget,
+    /// One target refuses connections.
+    DownTarget,
+    /// One entry VM is killed.
+    KillVm,
+    /// One entry VM is frozen and wakes.
+    FreezeVm,
+    /// The platform is down.
+    PlatformDown,
+    /// An availability zone is marked as leaving.
+    DrainZone,
+}
+
+/// A load with a fault.
+#[derive(Debug, Clone, Copy)]
+pub struct Scene {
+    /// Name for tables.
+    pub name: &'static str,
+    /// Rate as a part of the slots' capacity.
+    pub load: f64,
+    /// What goes wrong.
+    pub fault: Fault,
+}
+
+const fn scene(name: &'static str, load: f64, fault: Fault) -> Scene {
+    Scene { name, load, fault }
+}
+
+/// All scenes.
+#[must_use]
+pub fn scenes() -> Vec<Scene> {
+    vec![
+        scene("steady-50", 0.5, Fault::Nothing),
+        scene("steady-80", 0.8, Fault::Nothing),
+        scene("steady-95", 0.95, Fault::Nothing),
+        scene("over-1.2", 1.2, Fault::Nothing),
+        scene("over-2", 2.0, Fault::Nothing),
+        scene("over-5", 5.0, Fault::Nothing),
+        scene("slow-target", 0.6, Fault::SlowTarget),
+        scene("silent-target", 0.6, Fault::SilentTarget),
+        scene("down-target", 0.6, Fault::DownTarget),
+        scene("drain-zone", 0.6, Fault::DrainZone),
+        scene("kill-vm", 0.6, Fault::KillVm),
+        scene("freeze-vm", 0.6, Fault::FreezeVm),
+        scene("platform-down", 0.6, Fault::PlatformDown),
+    ]
+}
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -56,6 +56,11 @@
         self.signal(libc::SIGTERM);
     }
 
+    /// Asks it to read its settings again.
+    pub fn hang_up(&self) {
+        self.signal(libc::SIGHUP);
+    }
+
     /// Stops it at once.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/crates/rig/src/rig.rs
+++ b/crates/rig/src/rig.rs
@@ -390,6 +390,26 @@
         self.admin.get(&url).await
     }
 
+    /// Requests that targets refused because their slots were taken, or because
+    /// they were late.
+    ///
+    /// # Errors
+    /// When the stand-in does not answer.
+    pub async fn sheds(&self) -> Result<u64, RigError> {
+        let url = format!("http://{}/sheds", self.layout.stand(UPSTREAM));
+        let sheds: serde_json::Value = self.admin.get(&url).await?;
+        Ok(sheds["sheds"].as_u64().unwrap_or(0))
+    }
+
+    /// Bytes that the fault proxy has carried, both ways.
+    ///
+    /// # Errors
+    /// When the stand-in does not answer.
+    pub async fn proxied_bytes(&self) -> Result<u64, RigError> {
+        let url = format!("http://{}/bytes", self.layout.stand(FAULT));
+        self.admin.get(&url).await
+    }
+
     /// Position of the VM that owns a pool, as the first live VM sees it.
     pub async fn owner(&self, service: &str, site: &str) -> Option<usize> {
         self.owner_seen_by_others(service, site, usize::MAX).await
--- a/crates/settings/src/fleet/types.rs
+++ b/crates/settings/src/fleet/types.rs
@@ -97,7 +97,7 @@
 }
 
 /// One upstream process.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Target {
     /// Name of the target.
     pub name: String,
--- a/crates/stand/src/caller/client.rs
+++ b/crates/stand/src/caller/client.rs
@@ -36,6 +36,7 @@
 }
 
 /// A caller of one client address. It keeps the last look-up while that lives.
+#[derive(Clone)]
 pub struct Caller {
     client: Client,
     entries: Vec<String>,
--- a/crates/stand/src/fault/proxy.rs
+++ b/crates/stand/src/fault/proxy.rs
@@ -44,6 +44,7 @@
         App::new()
             .app_data(shared.clone())
             .route("/routes/{name}", web::post().to(set))
+            .route("/bytes", web::get().to(bytes))
     })
     .workers(1)
     .bind(control)?
@@ -69,6 +70,11 @@
     }
 }
 
+async fn bytes(routes: web::Data<Vec<Arc<Route>>>) -> HttpResponse {
+    let carried: u64 = routes.iter().map(|route| route.carried()).sum();
+    HttpResponse::Ok().json(carried)
+}
+
 async fn accept(listener: TcpListener, route: Arc<Route>) {
     while let Ok((client, _)) = listener.accept().await {
         if route.setting().mode == Mode::Cut {
@@ -135,6 +141,7 @@
             return;
         }
         passed += length as u64;
+        route.count(most as u64);
         if most < length {
             return;
         }
--- a/crates/stand/src/fault/route.rs
+++ b/crates/stand/src/fault/route.rs
@@ -53,6 +53,7 @@
     setting: Mutex<Setting>,
     /// Connections opened before this number are silenced or cut.
     epoch: AtomicU64,
+    carried: AtomicU64,
 }
 
 impl Route {
@@ -62,6 +63,7 @@
             to,
             setting: Mutex::new(Setting::default()),
             epoch: AtomicU64::new(0),
+            carried: AtomicU64::new(0),
         }
     }
 
@@ -78,6 +80,14 @@
         self.setting.lock().map(|held| *held).unwrap_or_default()
     }
 
+    pub(crate) fn count(&self, bytes: u64) {
+        self.carried.fetch_add(bytes, Ordering::Relaxed);
+    }
+
+    pub(crate) fn carried(&self) -> u64 {
+        self.carried.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn epoch(&self) -> u64 {
         self.epoch.load(Ordering::SeqCst)
     }
