Ask sites by patience, bound queues by service time, hand pools over

Now a site takes a request only while its wait is shorter than the way to the next site; refusals carry the exact wait back. 2. Under overload p99 was 1.22 s because queues held a second of work. They now hold 1.5 service times. 3. The shift test saw 42 dispatches in a second under a cap of 40 when a killed VM came back: the new owner started 1.2 s after its own boot, while the former owner did not know of it yet. A new owner now tells the former one and starts 1.5 s after that.

--- a/crates/entry/src/caller/answer.rs
+++ b/crates/entry/src/caller/answer.rs
@@ -10,6 +10,7 @@
     wire::{Outcome, Refusal, header},
 };
 
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 const MS_PER_S: u128 = 1000;
 
 /// The HTTP answer: an upstream's as it came, any other with a machine-readable body.
@@ -49,5 +50,6 @@
 /// Spreads callers over half to one and a half of the time, so that they do not
 /// all come back at once.
 fn spread(wait: Duration) -> Duration {
+    let wait = wait.max(MIN_RETRY_AFTER);
     wait.mul_f64(0.5 + rand::random::<f64>())
 }
--- a/crates/entry/src/caller/lookup.rs
+++ b/crates/entry/src/caller/lookup.rs
@@ -10,6 +10,7 @@
     actix_web::{HttpRequest, HttpResponse, web},
     serde::Deserialize,
     std::net::Ipv4Addr,
+    steer::Class,
     wire::{Entry, Lookup, Member},
 };
 
@@ -69,7 +70,7 @@
     let Some(service) = service else {
         return home.unwrap_or_default();
     };
-    let candidates = steering::candidates(state, service, origin, now);
+    let candidates = steering::candidates(state, service, origin, Class::Idempotent, now);
     let ordered = steer::order(&candidates, rand::random());
     let best = ordered.first().map(|candidate| candidate.site.clone());
     best.or(home).unwrap_or_default()
--- a/crates/entry/src/caller/parse.rs
+++ b/crates/entry/src/caller/parse.rs
@@ -66,6 +66,7 @@
         unresolved: unresolved.map_or(UNKNOWN_SENDS, clamp),
         origin: origin(node, http),
         fingerprint,
+        patience: Duration::MAX,
     })
 }
 
--- a/crates/entry/src/node/owned.rs
+++ b/crates/entry/src/node/owned.rs
@@ -8,11 +8,14 @@
     wire::{Map, Reason},
 };
 
-/// Time between becoming the owner of a pool and the first dispatch. It covers a
-/// cap's sliding second and most requests that the last owner still runs.
-pub(crate) const TAKEOVER: Duration = Duration::from_millis(1200);
-/// Time in which a former owner still serves its queue; shorter than [`TAKEOVER`].
-pub(crate) const HANDOVER: Duration = Duration::from_millis(600);
+/// Time in which a former owner still serves its queue.
+pub(crate) const HANDOVER: Duration = Duration::from_millis(300);
+/// Time between the former owner's knowing and the first dispatch: its handover,
+/// and the sliding second of the caps.
+pub(crate) const TAKEOVER: Duration = Duration::from_millis(1500);
+/// Time after which a pool is taken over although the former owner, which seems
+/// to be alive, could not be told.
+const CONFIRM_LIMIT: Duration = Duration::from_secs(5);
 
 /// Names a pool.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -25,8 +28,16 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Ownership {
     Never,
-    Mine { since: Duration },
-    Lost { since: Duration },
+    /// The former owner, when there is one, has not been told yet.
+    Claimed {
+        since: Duration,
+    },
+    Mine {
+        since: Duration,
+    },
+    Lost {
+        since: Duration,
+    },
 }
 
 /// A pool with the requests that wait in it on this VM.
@@ -34,6 +45,8 @@
     pub(crate) pool: Pool,
     pub(crate) targets: Vec<Target>,
     pub(crate) owner: Option<String>,
+    /// The VM that would own the pool if this one did not.
+    pub(crate) former: Option<String>,
     pub(crate) ownership: Ownership,
     /// Targets whose open connections are not used until a time.
     pub(crate) distrust: Map<usize, Duration>,
@@ -50,18 +63,31 @@
             pool: Pool::new(region, &named),
             targets,
             owner: None,
+            former: None,
             ownership: Ownership::Never,
             distrust: Map::default(),
             waiting: Map::default(),
         }
     }
 
-    /// Notes who owns the pool now.
-    pub(crate) fn set_owner(&mut self, owner: Option<&str>, me: &str, now: Duration) {
+    /// Notes who owns the pool now, and who would if this VM did not.
+    pub(crate) fn set_owner(
+        &mut self,
+        owner: Option<&str>,
+        former: Option<&str>,
+        me: &str,
+        now: Duration,
+    ) {
+        let another = former.is_some() && former != self.former.as_deref();
         self.owner = owner.map(str::to_owned);
+        self.former = former.map(str::to_owned);
         let mine = owner == Some(me);
+        if mine && another && !self.admits(now) {
+            self.restart(now);
+        }
         self.ownership = match self.ownership {
-            Ownership::Never | Ownership::Lost { .. } if mine => Ownership::Mine { since: now },
+            Ownership::Never | Ownership::Lost { .. } if mine => Ownership::Claimed { since: now },
+            Ownership::Claimed { .. } if !mine => Ownership::Never,
             Ownership::Mine { .. } if !mine => Ownership::Lost { since: now },
             same => same,
         };
@@ -70,6 +96,28 @@
     /// Starts the takeover again, as after a pause of this process.
     pub(crate) fn restart(&mut self, now: Duration) {
         if matches!(self.ownership, Ownership::Mine { .. }) {
+            self.ownership = Ownership::Claimed { since: now };
+        }
+    }
+
+    /// The former owner that has to be told that this VM takes over.
+    pub(crate) fn to_tell(&self) -> Option<&str> {
+        let claimed = matches!(self.ownership, Ownership::Claimed { .. });
+        self.former.as_deref().filter(|_| claimed)
+    }
+
+    /// Notes that a VM has been told of this one.
+    pub(crate) fn told(&mut self, name: &str, now: Duration) {
+        if self.to_tell() == Some(name) {
+            self.ownership = Ownership::Mine { since: now };
+        }
+    }
+
+    /// Takes a pool over that has no former owner, or one that cannot be told.
+    pub(crate) fn settle(&mut self, now: Duration) {
+        if let Ownership::Claimed { since } = self.ownership
+            && (self.former.is_none() || now >= since + CONFIRM_LIMIT)
+        {
             self.ownership = Ownership::Mine { since: now };
         }
     }
@@ -84,7 +132,7 @@
         match self.ownership {
             Ownership::Mine { since } => now >= since + TAKEOVER,
             Ownership::Lost { since } => now < since + HANDOVER,
-            Ownership::Never => false,
+            Ownership::Never | Ownership::Claimed { .. } => false,
         }
     }
 
--- a/crates/entry/src/node/reports.rs
+++ b/crates/entry/src/node/reports.rs
@@ -15,10 +15,17 @@
     told: u32,
 }
 
+/// A wait that this VM was told by a pool's owner when it was refused.
+struct Refusal {
+    wait: Duration,
+    at: Duration,
+}
+
 /// The newest report of each pool.
 #[derive(Default)]
 pub(crate) struct Reports {
     held: Map<String, Held>,
+    refusals: Map<String, Refusal>,
 }
 
 impl Reports {
@@ -40,11 +47,30 @@
         self.held.insert(name, held);
     }
 
-    /// Reported wait of a pool; none when the report is missing or stale.
-    pub(crate) fn wait_ms(&self, service: &str, site: &str, now: Duration) -> Option<u32> {
-        let held = self.held.get(&steer::pool_name(service, site))?;
-        let fresh = now.saturating_sub(held.at) < STALE_AFTER;
-        fresh.then_some(held.report.wait_ms)
+    /// Notes the wait with which an owner refused a request.
+    pub(crate) fn refused(&mut self, service: &str, site: &str, wait: Duration, now: Duration) {
+        let refusal = Refusal { wait, at: now };
+        self.refusals
+            .insert(steer::pool_name(service, site), refusal);
+    }
+
+    /// Expected wait in a pool, by its owner's last refusal or report; none when
+    /// both are missing or stale.
+    pub(crate) fn wait(&self, service: &str, site: &str, now: Duration) -> Option<Duration> {
+        let name = steer::pool_name(service, site);
+        let held = self
+            .held
+            .get(&name)
+            .filter(|held| now.saturating_sub(held.at) < STALE_AFTER);
+        let refusal = self
+            .refusals
+            .get(&name)
+            .filter(|refusal| now < refusal.at + refusal.wait);
+        match (refusal, held) {
+            (Some(refusal), Some(held)) if refusal.at < held.at => Some(reported(held)),
+            (Some(refusal), _) => Some(refusal.wait.saturating_sub(now.saturating_sub(refusal.at))),
+            (None, held) => held.map(reported),
+        }
     }
 
     /// The least told reports, at most `most`.
@@ -65,3 +91,7 @@
         self.held.values().map(|held| &held.report).collect()
     }
 }
+
+fn reported(held: &Held) -> Duration {
+    Duration::from_millis(u64::from(held.report.wait_ms))
+}
--- a/crates/entry/src/node/request.rs
+++ b/crates/entry/src/node/request.rs
@@ -3,6 +3,7 @@
 use {
     actix_web::web::Bytes,
     std::time::Duration,
+    steer::Class,
     wire::{Header, Outcome, Reason},
 };
 
@@ -24,6 +25,8 @@
     /// Region of the caller.
     pub(crate) origin: String,
     pub(crate) fingerprint: String,
+    /// Longest expected wait for a slot that is accepted at the site asked.
+    pub(crate) patience: Duration,
 }
 
 /// What a caller is told.
@@ -70,6 +73,15 @@
 }
 
 impl Request {
+    /// Kind of the work, by which pools share their slots.
+    pub(crate) fn class(&self) -> Class {
+        if self.idempotent {
+            Class::Idempotent
+        } else {
+            Class::Once
+        }
+    }
+
     /// The answer when all trace of a send was lost.
     pub(crate) fn refuse_doubtful() -> Answer {
         Answer::refusal(
--- a/crates/entry/src/node/state.rs
+++ b/crates/entry/src/node/state.rs
@@ -116,6 +116,7 @@
             self.assign(now);
         }
         for owned in self.pools.values_mut() {
+            owned.settle(now);
             owned.pump(now);
         }
     }
@@ -130,11 +131,15 @@
         if serving.is_empty() {
             serving = all;
         }
+        let others: Vec<&Member> = serving.iter().copied().filter(|m| m.name != me).collect();
         for (key, owned) in &mut self.pools {
             let name = steer::pool_name(&key.service, &key.site);
             let near = |member: &Member| fleet::tier(fleet, &key.site, member);
             let owner = member::owner(&name, &serving, near);
-            owned.set_owner(owner.map(|member| member.name.as_str()), &me, now);
+            let former = member::owner(&name, &others, near);
+            let named = |member: Option<&Member>| member.map(|member| member.name.clone());
+            let (owner, former) = (named(owner), named(former));
+            owned.set_owner(owner.as_deref(), former.as_deref(), &me, now);
         }
     }
 
@@ -147,6 +152,19 @@
                 || self.probed.len() >= others.min(ENOUGH_PROBED))
     }
 
+    /// Former owners that have to be told of this VM.
+    pub(crate) fn to_tell(&self) -> BTreeSet<String> {
+        let names = self.pools.values().filter_map(Owned::to_tell);
+        names.map(str::to_owned).collect()
+    }
+
+    /// Notes that a VM has been told of this one.
+    pub(crate) fn told(&mut self, name: &str, now: Duration) {
+        for owned in self.pools.values_mut() {
+            owned.told(name, now);
+        }
+    }
+
     /// The retry budget of a service.
     pub(crate) fn budget(&mut self, service: &str) -> &mut Budget {
         self.budgets.entry(service.to_owned()).or_default()
--- a/crates/entry/src/peers/prober.rs
+++ b/crates/entry/src/peers/prober.rs
@@ -14,6 +14,8 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// Pause between two reports of the own pools.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+/// Pause between two tries to tell former owners.
+const TELL_INTERVAL: Duration = Duration::from_millis(200);
 /// Peers asked to probe a member that did not answer.
 const HELPERS: usize = 2;
 
@@ -30,6 +32,7 @@
         ctx.run_interval(TICK_INTERVAL, |this, _| tick(&this.node));
         ctx.run_interval(REPORT_INTERVAL, |this, _| report(&this.node));
         ctx.run_interval(PROBE_INTERVAL, |this, _| this.probe_next());
+        ctx.run_interval(TELL_INTERVAL, |this, _| this.tell_former_owners());
     }
 }
 
@@ -44,6 +47,32 @@
     }
 }
 
+impl Prober {
+    /// Tells the former owners of pools that this VM is about to take over.
+    fn tell_former_owners(&self) {
+        for name in self.node.state().to_tell() {
+            let (node, clients) = (self.node.clone(), self.clients.clone());
+            actix::spawn(async move { tell(&node, &clients, &name).await });
+        }
+    }
+}
+
+async fn tell(node: &Arc<Node>, clients: &Clients, name: &str) {
+    let member = {
+        let state = node.state();
+        let all = state.view.all();
+        all.into_iter().find(|member| member.name == name).cloned()
+    };
+    let Some(member) = member else {
+        return;
+    };
+    let address = node.peer_address(&member.name, &member.peer);
+    if exchange::exchange(node, clients, &address, false).await {
+        let now = node.now();
+        node.state().told(name, now);
+    }
+}
+
 /// Probes a member directly and, if that fails, through helpers.
 async fn probe(node: &Arc<Node>, clients: &Clients, member: &Member) {
     let newcomer = member.boot_ms == 0;
--- a/crates/entry/src/run/slot.rs
+++ b/crates/entry/src/run/slot.rs
@@ -78,7 +78,7 @@
 ) -> Result<Reservation<'a>, (Reason, Duration)> {
     let now = context.node.now();
     let mut state = context.node.state();
-    let class = class(request);
+    let class = request.class();
     let owned = state.pools.get_mut(key).ok_or(NOT_OWNER)?;
     if !owned.admits(now) {
         return Err(NOT_OWNER);
@@ -115,7 +115,7 @@
     };
     let left = request.deadline.saturating_sub(context.node.now());
     let word = actix_web::rt::time::timeout(left, granted).await;
-    let retry_after = retry_after(context, key, class(request));
+    let retry_after = retry_after(context, key, request.class());
     match word {
         Ok(Ok(Ok(grant))) => Ok(Slot {
             context,
@@ -243,21 +243,14 @@
     }
 }
 
-fn class(request: &Request) -> Class {
-    if request.idempotent {
-        Class::Idempotent
-    } else {
-        Class::Once
-    }
-}
-
 fn offer(request: &Request, ticket: u64, avoid: Option<usize>) -> Offer<'_> {
     Offer {
         ticket,
-        class: class(request),
+        class: request.class(),
         deadline: request.deadline,
         origin: &request.origin,
         avoid,
+        patience: request.patience,
     }
 }
 
@@ -266,7 +259,7 @@
     let state = context.node.state();
     let owned = state.pools.get(key);
     owned.map_or(Duration::from_millis(500), |owned| {
-        owned.pool.retry_after(class, now)
+        owned.pool.wait(class, now)
     })
 }
 
--- a/crates/entry/src/steering/forward.rs
+++ b/crates/entry/src/steering/forward.rs
@@ -38,6 +38,7 @@
         deadline_ms: own_ms,
         key: request.key.clone(),
         unresolved: request.unresolved,
+        patience_ms: u32::try_from(request.patience.as_millis()).unwrap_or(u32::MAX),
         origin: request.origin.clone(),
         fingerprint: request.fingerprint.clone(),
     };
@@ -89,6 +90,7 @@
         unresolved: head.unresolved,
         origin: head.origin,
         fingerprint: head.fingerprint,
+        patience: Duration::from_millis(u64::from(head.patience_ms)),
     };
     if idempotent.is_none() {
         return request.refuse_unsent(Reason::NotOwner, RETRY_AFTER);
--- a/crates/entry/src/steering/route.rs
+++ b/crates/entry/src/steering/route.rs
@@ -7,7 +7,7 @@
         run::{self, Context},
     },
     std::time::Duration,
-    steer::Candidate,
+    steer::{Candidate, Class},
     wire::{Member, Outcome, Reason},
 };
 
@@ -15,9 +15,15 @@
 const MAX_SITES: usize = 3;
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Assumed wait at a site that has not been reported lately.
-const UNKNOWN_WAIT_MS: u32 = 5;
+const UNKNOWN_WAIT: Duration = Duration::from_millis(5);
+/// Wait at a site that is always accepted before another is asked.
+const MIN_PATIENCE_MS: u32 = 10;
 
 /// Steers a request until a site answers, or no site is left.
+///
+/// Each site in turn may take it if the wait there is shorter than the way to the
+/// next; sites that are known to make it wait longer are not asked. If none takes
+/// it, the site with the shortest way and wait may queue it.
 pub(crate) async fn steer(context: &Context, request: &Request) -> Answer {
     let node = &context.node;
     if let Some(reason) = node.closed() {
@@ -26,24 +32,77 @@
     if let Some(left) = blocked(context, request) {
         return request.refuse_unsent(Reason::Quarantined, left);
     }
-    let sites = order(&node.state(), request, node.now(), rand::random());
-    let mut last = request.refuse_unsent(Reason::NoUpstream, RETRY_AFTER);
-    for site in sites.into_iter().take(MAX_SITES) {
-        if node.now() >= request.deadline {
-            break;
+    let chance = rand::random();
+    let sites = order(&node.state(), request, node.now(), chance);
+    let mut last = None;
+    let mut out = Vec::new();
+    for (index, site) in sites.iter().enumerate().take(MAX_SITES) {
+        let patience = patience(&sites, index);
+        if site.wait_ms > patience {
+            continue;
         }
-        let key = PoolKey {
-            service: request.service.clone(),
-            site,
-        };
-        let answer = ask(context, &key, request).await;
-        if !answer.try_elsewhere() {
+        let patience = Duration::from_millis(patience.into());
+        let answer = ask_site(context, request, &site.site, patience).await;
+        if !answer.try_elsewhere() || node.now() >= request.deadline {
             return answer;
         }
-        log::debug!(event = "try_elsewhere", request = request.id.as_str(), site = key.site.as_str(), reason:% = answer.reason; "site did not take the request");
-        last = sooner(&last, answer);
+        if answer.reason != Reason::Overloaded {
+            out.push(site.site.as_str());
+        }
+        last = Some(later(last.as_ref(), answer));
     }
-    last
+    let Some(best) = shortest(&node.state(), request, &out, node.now()) else {
+        let refusal = || request.refuse_unsent(Reason::NoUpstream, RETRY_AFTER);
+        return last.unwrap_or_else(refusal);
+    };
+    let answer = ask_site(context, request, &best, Duration::MAX).await;
+    later(last.as_ref(), answer)
+}
+
+/// Longest wait at a site that is accepted while others may be sooner.
+fn patience(sites: &[Candidate], index: usize) -> u32 {
+    let next = sites.get(index + 1).or_else(|| sites.first());
+    let way = next.map_or(0, |next| next.round_trip_ms);
+    way.saturating_sub(sites[index].round_trip_ms)
+        .max(MIN_PATIENCE_MS)
+}
+
+async fn ask_site(context: &Context, request: &Request, site: &str, patience: Duration) -> Answer {
+    let key = PoolKey {
+        service: request.service.clone(),
+        site: site.to_owned(),
+    };
+    let request = Request {
+        patience,
+        ..request.clone()
+    };
+    let answer = ask(context, &key, &request).await;
+    if answer.reason == Reason::Overloaded {
+        let now = context.node.now();
+        let mut state = context.node.state();
+        state
+            .reports
+            .refused(&key.service, site, answer.retry_after, now);
+    }
+    log::debug!(event = "site_asked", request = request.id.as_str(), site = site, reason:% = answer.reason; "site asked");
+    answer
+}
+
+/// The site with the shortest way and wait, but for those that are out.
+fn shortest(state: &State, request: &Request, out: &[&str], now: Duration) -> Option<String> {
+    let open = candidates(
+        state,
+        &request.service,
+        &request.origin,
+        request.class(),
+        now,
+    );
+    let usable = |site: &Candidate| site.usable && site.weight != Some(0);
+    let open = open
+        .into_iter()
+        .filter(|site| usable(site) && !out.contains(&site.site.as_str()));
+    let best = open.min_by_key(|site| site.round_trip_ms.saturating_add(site.wait_ms));
+    best.map(|site| site.site)
 }
 
 async fn ask(context: &Context, key: &PoolKey, request: &Request) -> Answer {
@@ -66,17 +125,19 @@
 
 /// The later refusal counts, with the earliest time to come back; a doubt about
 /// an earlier one stays.
-fn sooner(earlier: &Answer, later: Answer) -> Answer {
+fn later(earlier: Option<&Answer>, later: Answer) -> Answer {
+    let Some(earlier) = earlier else {
+        return later;
+    };
     let outcome = if earlier.outcome == Outcome::MayHaveRun {
         Outcome::MayHaveRun
     } else {
         later.outcome
     };
-    let retry_after = if earlier.reason == Reason::NoUpstream {
-        later.retry_after
-    } else {
-        earlier.retry_after.min(later.retry_after)
-    };
+    if later.outcome == Outcome::Answered {
+        return later;
+    }
+    let retry_after = earlier.retry_after.min(later.retry_after);
     Answer {
         outcome,
         retry_after,
@@ -90,10 +151,16 @@
     all.into_iter().find(|member| member.name == name).cloned()
 }
 
-fn order(state: &State, request: &Request, now: Duration, chance: f64) -> Vec<String> {
-    let candidates = candidates(state, &request.service, &request.origin, now);
+fn order(state: &State, request: &Request, now: Duration, chance: f64) -> Vec<Candidate> {
+    let candidates = candidates(
+        state,
+        &request.service,
+        &request.origin,
+        request.class(),
+        now,
+    );
     let ordered = steer::order(&candidates, chance);
-    ordered.into_iter().map(|c| c.site.clone()).collect()
+    ordered.into_iter().cloned().collect()
 }
 
 /// Sites that have targets of a service, as they look for a caller's region.
@@ -101,6 +168,7 @@
     state: &State,
     service: &str,
     origin: &str,
+    class: Class,
     now: Duration,
 ) -> Vec<Candidate> {
     let fleet = &state.fleet;
@@ -118,14 +186,22 @@
             site: key.site.clone(),
             weight: share.map(|share| share.sites.get(&key.site).copied().unwrap_or(0)),
             round_trip_ms: link.map_or(0, |link| 2 * link.one_way_ms),
-            wait_ms: wait_ms(state, key, now),
+            wait_ms: wait_ms(state, key, class, now),
             usable: !owned.targets.iter().all(leaving),
         })
     });
     candidate.collect()
 }
 
-fn wait_ms(state: &State, key: &PoolKey, now: Duration) -> u32 {
-    let reported = state.reports.wait_ms(&key.service, &key.site, now);
-    reported.unwrap_or(UNKNOWN_WAIT_MS)
+/// Expected wait in a pool: exact in an own pool, else as its owner said last.
+fn wait_ms(state: &State, key: &PoolKey, class: Class, now: Duration) -> u32 {
+    let own = state.pools.get(key).filter(|owned| owned.admits(now));
+    let wait = match own {
+        Some(owned) => owned.pool.wait(class, now),
+        None => state
+            .reports
+            .wait(&key.service, &key.site, now)
+            .unwrap_or(UNKNOWN_WAIT),
+    };
+    u32::try_from(wait.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/rig/tests/caps.rs
+++ b/crates/rig/tests/caps.rs
@@ -48,7 +48,7 @@
 }
 
 #[actix_rt::test]
-async fn shift_to_cebu_stays_under_its_cap_through_a_switch_and_a_kill() {
+async fn shift_to_cebu_stays_under_its_cap_through_a_switch_a_kill_and_a_return() {
     let mut rig = Rig::start(lower("cebu: 120", "cebu: 40")).await.unwrap();
     let mut callers = from_region(&rig, 0, 20);
     callers.extend(from_region(&rig, 2, 20));
@@ -63,6 +63,8 @@
     let owner = rig.owner("racegate", "cebu").await.unwrap();
     rig.vms[owner].kill();
     actix_rt::time::sleep(Duration::from_secs(6)).await;
+    rig.start_vm(u8::try_from(owner).unwrap()).unwrap();
+    actix_rt::time::sleep(Duration::from_secs(4)).await;
     let records = load.stop().await;
 
     let runs = rig.runs().await.unwrap();
--- a/crates/rig/tests/control.rs
+++ b/crates/rig/tests/control.rs
@@ -131,6 +131,36 @@
     until_all_at(&rig, version, LIMIT).await;
 }
 
+#[actix_rt::test]
+async fn document_that_arrives_late_is_not_put_in_force() {
+    let rig = Rig::start(Options::default()).await.unwrap();
+    let place = &rig.places[0];
+    let old = rig
+        .admin
+        .change(place, switch("peak", 1))
+        .await
+        .unwrap()
+        .document;
+    let new = rig
+        .admin
+        .change(place, switch("maintenance", 2))
+        .await
+        .unwrap()
+        .document;
+    let client = awc::Client::default();
+
+    for place in &rig.places {
+        let url = format!("http://{}/peer/control", place.peer);
+        let body = wire::encode(&old).unwrap();
+        let response = client.post(url).send_body(body).await.unwrap();
+        assert!(response.status().is_success());
+    }
+
+    for place in &rig.places {
+        assert_eq!(rig.admin.version(place).await, Some(new.version));
+    }
+}
+
 #[actix_rt::test]
 async fn mark_reaches_a_vm_that_is_cut_from_the_platform() {
     let rig = Rig::start(with_faults()).await.unwrap();
--- a/crates/rig/tests/once.rs
+++ b/crates/rig/tests/once.rs
@@ -192,6 +192,35 @@
     assert_eq!(runs_of(&rig, &key).await, 1);
 }
 
+#[actix_rt::test]
+async fn refused_claim_whose_answer_is_lost_does_not_run() {
+    let rig = Rig::start(slow()).await.unwrap();
+    let key = new_key();
+    let first = {
+        let (caller, url, key) = (rig.caller(0), rig.places[0].url(), key.clone());
+        actix_rt::spawn(async move { caller.send_to(&url, &refund(), &key, 0).await })
+    };
+    until("the run", LIMIT, || async {
+        runs_of(&rig, &key).await == 1
+    })
+    .await
+    .unwrap();
+    let lose = Fault {
+        lose_answers: 1,
+        ..Fault::default()
+    };
+    rig.platform_fault(&lose).await.unwrap();
+
+    let second = rig
+        .caller(1)
+        .send_to(&rig.places[1].url(), &refund(), &key, 1)
+        .await;
+
+    assert_eq!(first.await.unwrap().told, Told::Answered);
+    assert_ne!(second.told, Told::NotRun, "{second:?}");
+    assert_eq!(runs_of(&rig, &key).await, 1);
+}
+
 #[actix_rt::test]
 async fn same_key_to_all_vms_at_once_runs_once() {
     let rig = Rig::start(slow()).await.unwrap();
--- a/crates/steer/src/pool.rs
+++ b/crates/steer/src/pool.rs
@@ -6,10 +6,13 @@
     wire::{Map, Reason},
 };
 
-/// Longest time a request may wait for a slot.
-const MAX_WAIT: Duration = Duration::from_secs(1);
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
+/// Longest time a request may wait for a slot, in mean service times: enough for
+/// the slots never to run dry under overload, and no more.
+const MAX_WAIT_SERVICES: f64 = 1.5;
+const MIN_MAX_WAIT: Duration = Duration::from_millis(50);
+const MAX_MAX_WAIT: Duration = Duration::from_secs(1);
+/// A cap's window is used up; what was dispatched first leaves it within a second.
+const CAP_RETRY: Duration = Duration::from_secs(1);
 const NO_UPSTREAM_RETRY: Duration = Duration::from_millis(500);
 const FIRST_SERVICE_MS: f64 = 50.0;
 const SERVICE_WEIGHT: f64 = 0.05;
@@ -65,6 +68,11 @@
         self.ahead() + self.busy
     }
 
+    fn max_wait(&self) -> Duration {
+        let wait = Duration::from_secs_f64(self.service_ms * MAX_WAIT_SERVICES / 1000.0);
+        wait.clamp(MIN_MAX_WAIT, MAX_MAX_WAIT)
+    }
+
     fn service(&self) -> Duration {
         Duration::from_secs_f64(self.service_ms / 1000.0)
     }
@@ -104,6 +112,8 @@
     pub origin: &'a str,
     /// Target that failed it before.
     pub avoid: Option<usize>,
+    /// Longest expected wait that it accepts; another site would be sooner.
+    pub patience: Duration,
 }
 
 /// What the pool says to an offer.
@@ -346,10 +356,10 @@
         Duration::from_secs_f64(ms / 1000.0)
     }
 
-    /// When a refused request should come back.
+    /// Expected wait of a new request of a class.
     #[must_use]
-    pub fn retry_after(&self, class: Class, now: Duration) -> Duration {
-        clamp(self.expected_wait(class, now))
+    pub fn wait(&self, class: Class, now: Duration) -> Duration {
+        self.expected_wait(class, now)
     }
 
     /// What the pool looks like.
@@ -382,11 +392,13 @@
         }
         let wait = self.expected_wait(offer.class, now);
         let left = offer.deadline.saturating_sub(now);
-        if wait > MAX_WAIT || wait + self.lane(offer.class).service() > left {
-            return refused(Reason::Overloaded, clamp(wait));
+        let lane = self.lane(offer.class);
+        let most = lane.max_wait().min(offer.patience);
+        if wait > most || wait + lane.service() > left {
+            return refused(Reason::Overloaded, wait);
         }
         if self.capped(offer, now) {
-            return refused(Reason::CapReached, clamp(MAX_WAIT));
+            return refused(Reason::CapReached, CAP_RETRY);
         }
         Admission::Queued
     }
@@ -420,7 +432,7 @@
     fn expected_wait(&self, class: Class, now: Duration) -> Duration {
         let capacity = self.capacity(now);
         if capacity == 0 {
-            return MAX_WAIT;
+            return MAX_MAX_WAIT;
         }
         let lane = &self.lanes[class.index()];
         let other = &self.lanes[1 - class.index()];
@@ -520,7 +532,3 @@
     let extra = (1..slots).filter(|slot| f64::from(*slot) <= part * f64::from(slots - 1));
     1 + u32::try_from(extra.count()).unwrap_or(0)
 }
-
-fn clamp(wait: Duration) -> Duration {
-    wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
-}
--- a/crates/steer/tests/pool.rs
+++ b/crates/steer/tests/pool.rs
@@ -19,6 +19,7 @@
         deadline: now + Duration::from_secs(2),
         origin,
         avoid: None,
+        patience: Duration::MAX,
     }
 }
 
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -78,6 +78,8 @@
     #[doc = "Region of the caller."]
     pub origin: ::std::string::String,
     pub path: ::std::string::String,
+    #[doc = "Longest expected wait for a slot that the request accepts, in milliseconds."]
+    pub patience_ms: u32,
     pub request: ::std::string::String,
     pub service: ::std::string::String,
     #[doc = "Site whose pool is meant."]
