Work look-up answers out ahead of the look-ups

Cause: a look-up listed all pools and sorted all members, so its cost grew with the fleet; at 520 members and 480 pools it would exceed any budget.

Change: a directory of answers by service and region, rebuilt when members, owners or marks change and every 250 ms; the weighted draw is worked out ahead (`steer::Choice`), and draws only among sites that would not answer much later. Gossip carries at most 12 members, 8 pools and 4 poisons, so that a message stays small at 480 pools.

--- a/crates/entry/src/caller/parse.rs
+++ b/crates/entry/src/caller/parse.rs
@@ -4,7 +4,10 @@
     crate::node::{Answer, Node, Request},
     actix_web::{HttpRequest, web::Bytes},
     once::{Key, KeyError},
-    std::{net::IpAddr, time::Duration},
+    std::{
+        net::{IpAddr, Ipv4Addr},
+        time::Duration,
+    },
     wire::{Header, Outcome, Reason, header},
     xxhash_rust::xxh3::Xxh3,
 };
@@ -78,17 +81,21 @@
 }
 
 /// Region of the caller: that of its block, or else that of this VM.
-pub(crate) fn origin(node: &Node, http: &HttpRequest) -> String {
+fn origin(node: &Node, http: &HttpRequest) -> String {
     let state = node.state();
-    let client = http.peer_addr().map(|address| address.ip());
-    let region = match client {
-        Some(IpAddr::V4(client)) => state.atlas.region(client),
-        _ => None,
-    };
+    let region = client(http).and_then(|client| state.atlas.region(client));
     let named = region.and_then(|region| state.fleet.regions.get(region));
     named.map_or_else(|| node.region.clone(), |region| region.name.clone())
 }
 
+/// Address of the caller.
+pub(crate) fn client(http: &HttpRequest) -> Option<Ipv4Addr> {
+    match http.peer_addr()?.ip() {
+        IpAddr::V4(client) => Some(client),
+        IpAddr::V6(_) => None,
+    }
+}
+
 /// `/v1/SERVICE/PATH` into service and path.
 fn split(path: &str) -> Option<(&str, &str)> {
     let rest = path.strip_prefix("/v1/")?;
--- a/crates/entry/src/node/mod.rs
+++ b/crates/entry/src/node/mod.rs
@@ -1,5 +1,6 @@
 //! State that the listeners and the actors of one VM share.
 
+mod directory;
 mod fleet;
 mod owned;
 mod reports;
@@ -7,6 +8,7 @@
 mod shared;
 mod state;
 
+pub(crate) use directory::Directory;
 pub(crate) use fleet::tier;
 pub(crate) use owned::{Owned, Ownership, PoolKey};
 pub(crate) use reports::Reports;
--- a/crates/entry/src/node/shared.rs
+++ b/crates/entry/src/node/shared.rs
@@ -22,6 +22,8 @@
 pub(crate) struct Node {
     pub(crate) vm: Vm,
     pub(crate) region: String,
+    /// Position of the region in the fleet settings.
+    pub(crate) region_index: usize,
     pub(crate) clock: Clock,
     pub(crate) claims: Addr<Batcher>,
     state: Mutex<State>,
@@ -35,9 +37,12 @@
         claims: Addr<Batcher>,
         state: State,
     ) -> Self {
+        let named = |one: &settings::Region| one.name == region;
+        let region_index = state.fleet.regions.iter().position(named).unwrap_or(0);
         Self {
             vm,
             region,
+            region_index,
             clock,
             claims,
             state: Mutex::new(state),
--- a/crates/entry/src/node/state.rs
+++ b/crates/entry/src/node/state.rs
@@ -1,7 +1,7 @@
 //! The part of a node that changes.
 
 use {
-    super::{Owned, PoolKey, Reports, fleet},
+    super::{Directory, Owned, PoolKey, Reports, fleet},
     control::Replica,
     member::View,
     settings::Fleet,
@@ -34,6 +34,7 @@
     /// Members that were probed since the start, whether they answered or not.
     pub(crate) probed: BTreeSet<String>,
     pub(crate) report_beat: u64,
+    pub(crate) directory: Directory,
     /// View and document for which the owners were last worked out.
     settled: (u64, u64),
 }
@@ -56,6 +57,7 @@
             in_flight: 0,
             probed: BTreeSet::new(),
             report_beat: 0,
+            directory: Directory::default(),
             settled: (u64::MAX, u64::MAX),
         };
         state.pools = build_pools(&state.fleet);
@@ -114,6 +116,7 @@
         if self.settled != current {
             self.settled = current;
             self.assign(now);
+            self.directory = Directory::build(self, now);
         }
         for owned in self.pools.values_mut() {
             owned.settle(now);
--- a/crates/entry/src/peers/exchange.rs
+++ b/crates/entry/src/peers/exchange.rs
@@ -13,9 +13,9 @@
     wire::{Gossip, Member, Poison, Pool, Status},
 };
 
-const MAX_MEMBERS: usize = 24;
-const MAX_POOLS: usize = 24;
-const MAX_POISONS: usize = 16;
+const MAX_MEMBERS: usize = 12;
+const MAX_POOLS: usize = 8;
+const MAX_POISONS: usize = 4;
 /// Bound on telling all others about a crash before the request goes on.
 const CRASH_TELL_TIMEOUT: Duration = Duration::from_millis(200);
 
--- a/crates/entry/src/peers/prober.rs
+++ b/crates/entry/src/peers/prober.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{calls, exchange},
-    crate::{node::Node, upstream::Clients},
+    crate::{
+        node::{Directory, Node},
+        upstream::Clients,
+    },
     actix::{Actor, AsyncContext, Context},
     std::{sync::Arc, time::Duration},
     wire::{Member, Status},
@@ -134,4 +137,5 @@
     let now = node.now();
     let mut state = node.state();
     exchange::report_pools(&mut state, now);
+    state.directory = Directory::build(&state, now);
 }
--- a/crates/measure/src/slopes.rs
+++ b/crates/measure/src/slopes.rs
@@ -11,7 +11,7 @@
         net::Ipv4Addr,
         time::{Duration, Instant},
     },
-    steer::{Atlas, Quarantine},
+    steer::{Atlas, Candidate, Choice, Quarantine},
     wire::{Document, Gossip, Kind, Mark, Poison, Pool},
 };
 
@@ -50,6 +50,9 @@
     for size in [10_000, 100_000, 310_000] {
         out.extend(atlas(size));
     }
+    for sites in [3, 40, 160] {
+        out.push(decision(sites));
+    }
     for size in [18, 160, 480] {
         out.push(owners(size, 12));
         out.push(owners(size, 520));
@@ -102,6 +105,43 @@
     ]
 }
 
+/// Client to site at 310,000 blocks, by sites: what a look-up decides in memory.
+fn decision(sites: usize) -> Slope {
+    let blocks: Vec<Block> = (0..310_000_u32)
+        .map(|index| Block {
+            first: Ipv4Addr::from(index << (32 - PREFIX_BITS)),
+            prefix: PREFIX_BITS,
+            region: index as usize % sites,
+        })
+        .collect();
+    let atlas = Atlas::build(&blocks);
+    let candidate = |index: usize| Candidate {
+        site: format!("site-{index}"),
+        weight: Some(1),
+        round_trip_ms: u32::try_from(index % 40).unwrap_or(0),
+        wait_ms: 0,
+        usable: true,
+    };
+    let candidates: Vec<Candidate> = (0..sites).map(candidate).collect();
+    let choices: Vec<Choice> = (0..sites).map(|_| Choice::build(&candidates)).collect();
+    let mut random = StdRng::seed_from_u64(SEED);
+    let addresses: Vec<Ipv4Addr> = (0..4096)
+        .map(|_| Ipv4Addr::from(random.random_range(0..310_000_u32) << (32 - PREFIX_BITS)))
+        .collect();
+    let start = Instant::now();
+    for index in 0..LOOKUPS {
+        let address = addresses[index as usize % addresses.len()];
+        let region = atlas.region(address).unwrap_or(0);
+        black_box(choices[region].pick(f64::from(index % 100) / 100.0));
+    }
+    point(
+        "look-up decision, 310,000 blocks, by sites",
+        sites,
+        per(start, LOOKUPS),
+        "ns",
+    )
+}
+
 fn member(index: usize) -> Member {
     Member {
         name: format!("cebu-a-vm{index}"),
--- a/crates/steer/src/site.rs
+++ b/crates/steer/src/site.rs
@@ -18,45 +18,80 @@
 /// A site loses its turn when another would answer sooner by this much.
 const SPILL_MS: u32 = 50;
 
+/// The first site to ask, worked out ahead of the requests that ask it.
+///
+/// Where the preset divides the service, the site is drawn by weight among those
+/// that would not answer much later than the best. Sites without weight are left out.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Choice {
+    /// Positions of sites, each with the sum of the weights up to it.
+    draws: Vec<(u32, usize)>,
+    best: Option<usize>,
+}
+
+impl Choice {
+    /// Works out the choice among candidates.
+    #[must_use]
+    pub fn build(candidates: &[Candidate]) -> Self {
+        let open = || {
+            candidates
+                .iter()
+                .enumerate()
+                .filter(|(_, one)| is_open(one))
+        };
+        let best = open().min_by_key(|(_, one)| cost(one));
+        let Some((best, cheapest)) = best.map(|(index, one)| (index, cost(one))) else {
+            return Self::default();
+        };
+        let mut draws = Vec::new();
+        let mut sum = 0;
+        for (index, one) in open() {
+            let near = cost(one) <= cheapest.saturating_add(SPILL_MS);
+            let weight = one.weight.filter(|_| near).unwrap_or(0);
+            if weight > 0 {
+                sum += weight;
+                draws.push((sum, index));
+            }
+        }
+        Self {
+            draws,
+            best: Some(best),
+        }
+    }
+
+    /// Position of the site to ask; `chance` is a number in `0.0..1.0`.
+    #[must_use]
+    pub fn pick(&self, chance: f64) -> Option<usize> {
+        let Some((sum, _)) = self.draws.last() else {
+            return self.best;
+        };
+        let mark = chance * f64::from(*sum);
+        let after = self
+            .draws
+            .partition_point(|(upto, _)| f64::from(*upto) <= mark);
+        self.draws.get(after).map(|(_, index)| *index).or(self.best)
+    }
+}
+
 /// Orders the sites to ask; `chance` is a number in `0.0..1.0`.
 ///
-/// Where the preset divides the service, the first site is drawn by weight and
-/// sites without weight are left out. Otherwise the site with the lowest round
-/// trip and wait comes first. The others follow by that cost.
+/// The first is that of [`Choice`]; the others follow by their way and wait.
 #[must_use]
 pub fn order(candidates: &[Candidate], chance: f64) -> Vec<&Candidate> {
-    let mut open: Vec<&Candidate> = candidates
+    let first = Choice::build(candidates).pick(chance);
+    let mut open: Vec<(usize, &Candidate)> = candidates
         .iter()
-        .filter(|candidate| candidate.usable && candidate.weight != Some(0))
+        .enumerate()
+        .filter(|(_, candidate)| is_open(candidate))
         .collect();
-    open.sort_by_key(|candidate| cost(candidate));
-    let Some(best) = open.first().map(|candidate| cost(candidate)) else {
-        return open;
-    };
-    if let Some(drawn) = draw(&open, chance)
-        && cost(open[drawn]) <= best.saturating_add(SPILL_MS)
-    {
-        let first = open.remove(drawn);
-        open.insert(0, first);
-    }
-    open
+    open.sort_by_key(|(index, candidate)| (Some(*index) != first, cost(candidate)));
+    open.into_iter().map(|(_, candidate)| candidate).collect()
 }
 
-fn cost(candidate: &Candidate) -> u32 {
-    candidate.round_trip_ms.saturating_add(candidate.wait_ms)
+fn is_open(candidate: &Candidate) -> bool {
+    candidate.usable && candidate.weight != Some(0)
 }
 
-fn draw(open: &[&Candidate], chance: f64) -> Option<usize> {
-    let total: u32 = open.iter().filter_map(|candidate| candidate.weight).sum();
-    if total == 0 {
-        return None;
-    }
-    let mut left = chance * f64::from(total);
-    for (index, candidate) in open.iter().enumerate() {
-        left -= f64::from(candidate.weight.unwrap_or(0));
-        if left < 0.0 {
-            return Some(index);
-        }
-    }
-    None
+fn cost(candidate: &Candidate) -> u32 {
+    candidate.round_trip_ms.saturating_add(candidate.wait_ms)
 }
