Explain refusals in the dump, and let a stop wait for all work

Cause: a dump showed what steers but not why a request was refused; a stop waited for callers' requests only, so a forwarded at-most-once request or the record of its answer could be cut off after the caller had gone.

Ruled out for the stop: the listeners' own graceful stop, which waits for connections and not for tasks.

The change of the preset's patience is not measured yet.

--- a/crates/entry/src/caller/serve.rs
+++ b/crates/entry/src/caller/serve.rs
@@ -3,12 +3,12 @@
 use {
     super::{answer, lookup, parse},
     crate::{
-        node::{Answer, Node},
+        node::{Answer, Flight},
         run::Context,
         steering,
     },
     actix_web::{HttpRequest, HttpResponse, web},
-    std::{sync::Arc, time::Duration},
+    std::time::Duration,
     uuid::Uuid,
     wire::{Outcome, Reason},
 };
@@ -61,21 +61,3 @@
 
 /// Time for a caller to send its body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// Counts a request from its arrival to its end, so that a stop can wait for it.
-struct Flight {
-    node: Arc<Node>,
-}
-
-impl Flight {
-    fn begin(node: &Arc<Node>) -> Self {
-        node.state().in_flight += 1;
-        Self { node: node.clone() }
-    }
-}
-
-impl Drop for Flight {
-    fn drop(&mut self) {
-        self.node.state().in_flight -= 1;
-    }
-}
--- /dev/null
+++ b/crates/entry/src/node/flight.rs
@@ -0,0 +1,21 @@
+//! Counts what a stop has to wait for.
+
+use {super::Node, std::sync::Arc};
+
+/// Counts one piece of work from its beginning to its end.
+pub(crate) struct Flight {
+    node: Arc<Node>,
+}
+
+impl Flight {
+    pub(crate) fn begin(node: &Arc<Node>) -> Self {
+        node.state().in_flight += 1;
+        Self { node: node.clone() }
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.node.state().in_flight -= 1;
+    }
+}
--- a/crates/entry/src/node/mod.rs
+++ b/crates/entry/src/node/mod.rs
@@ -2,7 +2,9 @@
 
 mod directory;
 mod fleet;
+mod flight;
 mod owned;
+mod refusals;
 mod reports;
 mod request;
 mod shared;
@@ -10,7 +12,9 @@
 
 pub(crate) use directory::Directory;
 pub(crate) use fleet::tier;
+pub(crate) use flight::Flight;
 pub(crate) use owned::{Owned, Ownership, PoolKey};
+pub(crate) use refusals::{Asked, Refusals};
 pub(crate) use reports::Reports;
 pub(crate) use request::{Answer, Request};
 pub(crate) use shared::Node;
--- a/crates/entry/src/node/reports.rs
+++ b/crates/entry/src/node/reports.rs
@@ -1,6 +1,7 @@
 //! Loads of pools as their owners report them.
 
 use {
+    super::PoolKey,
     std::time::Duration,
     wire::{Map, Pool},
 };
@@ -48,16 +49,16 @@
     }
 
     /// Notes the wait with which an owner refused a request.
-    pub(crate) fn refused(&mut self, service: &str, site: &str, wait: Duration, now: Duration) {
+    pub(crate) fn refused(&mut self, key: &PoolKey, wait: Duration, now: Duration) {
         let refusal = Refusal { wait, at: now };
         self.refusals
-            .insert(steer::pool_name(service, site), refusal);
+            .insert(steer::pool_name(&key.service, &key.site), refusal);
     }
 
     /// Expected wait in a pool, by its owner's last refusal or report; none when
     /// both are missing or stale.
-    pub(crate) fn wait(&self, service: &str, site: &str, now: Duration) -> Option<Duration> {
-        let name = steer::pool_name(service, site);
+    pub(crate) fn wait(&self, key: &PoolKey, now: Duration) -> Option<Duration> {
+        let name = steer::pool_name(&key.service, &key.site);
         let held = self
             .held
             .get(&name)
--- a/crates/entry/src/node/state.rs
+++ b/crates/entry/src/node/state.rs
@@ -1,7 +1,7 @@
 //! The part of a node that changes.
 
 use {
-    super::{Directory, Owned, PoolKey, Reports, fleet},
+    super::{Directory, Owned, PoolKey, Refusals, Reports, fleet},
     control::Replica,
     member::View,
     settings::Fleet,
@@ -35,6 +35,7 @@
     pub(crate) probed: BTreeSet<String>,
     pub(crate) report_beat: u64,
     pub(crate) directory: Directory,
+    pub(crate) refusals: Refusals,
     /// View and document for which the owners were last worked out.
     settled: (u64, u64),
 }
@@ -58,6 +59,7 @@
             probed: BTreeSet::new(),
             report_beat: 0,
             directory: Directory::default(),
+            refusals: Refusals::default(),
             settled: (u64::MAX, u64::MAX),
         };
         state.pools = build_pools(&state.fleet);
--- a/crates/entry/src/operator/dump.rs
+++ b/crates/entry/src/operator/dump.rs
@@ -42,6 +42,7 @@
         "platform_heard_ms_ago": ms(now.saturating_sub(state.store_heard_at)),
         "pools": pools,
         "reports": state.reports.all(),
+        "last_refusals": state.refusals.all(),
         "quarantine": quarantine,
         "retry_budgets": budgets,
         "client_blocks_bytes": state.atlas.bytes(),
--- a/crates/entry/src/run/once.rs
+++ b/crates/entry/src/run/once.rs
@@ -7,7 +7,7 @@
     },
     crate::{
         claims::Record,
-        node::{Answer, PoolKey, Request},
+        node::{Answer, Flight, PoolKey, Request},
         peers,
         upstream::Ending,
     },
@@ -23,8 +23,10 @@
 pub(crate) async fn run(context: &Context, key: &PoolKey, request: &Request) -> Answer {
     let (context, key, request) = (context.clone(), key.clone(), request.clone());
     let doubt = Request::refuse_doubtful();
-    let task =
-        actix_web::rt::spawn(async move { Driver::new(&context, &key, &request).drive().await });
+    let task = actix_web::rt::spawn(async move {
+        let _flight = Flight::begin(&context.node);
+        Driver::new(&context, &key, &request).drive().await
+    });
     task.await.unwrap_or(doubt)
 }
 
@@ -145,7 +147,12 @@
     fn finish(mut self) -> Answer {
         let answer = self.answer.take();
         let answer = answer.unwrap_or_else(Request::refuse_doubtful);
-        actix_web::rt::spawn(self.record.finish(answer.clone()));
+        let (record, recorded) = (self.record, answer.clone());
+        let flight = Flight::begin(&self.context.node);
+        actix_web::rt::spawn(async move {
+            record.finish(recorded).await;
+            drop(flight);
+        });
         answer
     }
 
--- a/crates/entry/src/steering/route.rs
+++ b/crates/entry/src/steering/route.rs
@@ -3,11 +3,11 @@
 use {
     super::forward,
     crate::{
-        node::{Answer, PoolKey, Request, State},
+        node::{Answer, Asked, PoolKey, Request, State},
         run::{self, Context},
     },
     std::time::Duration,
-    steer::{Candidate, Class},
+    steer::{Candidate, Class, SPILL_MS},
     wire::{Member, Outcome, Reason},
 };
 
@@ -19,90 +19,112 @@
 /// Wait at a site that is always accepted before another is asked.
 const MIN_PATIENCE_MS: u32 = 10;
 
-/// Steers a request until a site answers, or no site is left.
-///
-/// Each site in turn may take it if the wait there is shorter than the way to the
-/// next; sites that are known to make it wait longer are not asked. If none takes
-/// it, the site with the shortest way and wait may queue it.
+/// Steers a request until a site answers, or no site is left, and keeps a trace of
+/// a refusal for the dump.
 pub(crate) async fn steer(context: &Context, request: &Request) -> Answer {
-    let node = &context.node;
-    if let Some(reason) = node.closed() {
-        return request.refuse_unsent(reason, RETRY_AFTER);
+    let mut asked = Vec::new();
+    let answer = match refuse(context, request) {
+        Some(refusal) => refusal,
+        None => try_sites(context, request, &mut asked).await,
+    };
+    if answer.outcome != Outcome::Answered {
+        let mut state = context.node.state();
+        state.refusals.push(request, &answer, asked);
     }
-    if let Some(left) = blocked(context, request) {
-        return request.refuse_unsent(Reason::Quarantined, left);
+    answer
+}
+
+/// The refusal of a request that no site is to be asked for.
+fn refuse(context: &Context, request: &Request) -> Option<Answer> {
+    if let Some(reason) = context.node.closed() {
+        return Some(request.refuse_unsent(reason, RETRY_AFTER));
     }
-    let chance = rand::random();
-    let sites = order(&node.state(), request, node.now(), chance);
+    let left = blocked(context, request)?;
+    Some(request.refuse_unsent(Reason::Quarantined, left))
+}
+
+/// Asks sites in turn.
+///
+/// Each may take the request if the wait there is shorter than the way to the
+/// next; sites that are known to make it wait longer are passed over. If none
+/// takes it, the site with the shortest way and wait may queue it.
+async fn try_sites(context: &Context, request: &Request, asked: &mut Vec<Asked>) -> Answer {
+    let node = &context.node;
+    let sites = order(&node.state(), request, node.now(), rand::random());
     let mut last = None;
-    let mut out = Vec::new();
     for (index, site) in sites.iter().enumerate().take(MAX_SITES) {
-        let patience = patience(&sites, index);
-        if site.wait_ms > patience {
-            continue;
-        }
-        let patience = Duration::from_millis(patience.into());
-        let answer = ask_site(context, request, &site.site, patience).await;
-        if !answer.try_elsewhere() || node.now() >= request.deadline {
-            return answer;
+        let patience_ms = patience_ms(&sites, index);
+        let mut trace = trace(site, patience_ms);
+        if site.wait_ms <= patience_ms {
+            let answer = ask_site(context, request, &trace).await;
+            if !answer.try_elsewhere() || node.now() >= request.deadline {
+                return answer;
+            }
+            trace.reason = Some(answer.reason);
+            last = Some(later(last.as_ref(), answer));
         }
-        if answer.reason != Reason::Overloaded {
-            out.push(site.site.as_str());
-        }
-        last = Some(later(last.as_ref(), answer));
+        asked.push(trace);
     }
-    let Some(best) = shortest(&node.state(), request, &out, node.now()) else {
+    let Some(best) = shortest(&node.state(), request, asked, node.now()) else {
         let refusal = || request.refuse_unsent(Reason::NoUpstream, RETRY_AFTER);
         return last.unwrap_or_else(refusal);
     };
-    let answer = ask_site(context, request, &best, Duration::MAX).await;
+    let mut trace = trace(&best, u32::MAX);
+    let answer = ask_site(context, request, &trace).await;
+    trace.reason = Some(answer.reason);
+    asked.push(trace);
     later(last.as_ref(), answer)
 }
 
-/// Longest wait at a site that is accepted while others may be sooner.
-fn patience(sites: &[Candidate], index: usize) -> u32 {
+fn trace(site: &Candidate, patience_ms: u32) -> Asked {
+    Asked {
+        site: site.site.clone(),
+        wait_ms: site.wait_ms,
+        patience_ms,
+        reason: None,
+    }
+}
+
+/// Longest wait at a site that is accepted while others may be sooner. A site that
+/// the preset chose keeps its turn a little longer.
+fn patience_ms(sites: &[Candidate], index: usize) -> u32 {
     let next = sites.get(index + 1).or_else(|| sites.first());
     let way = next.map_or(0, |next| next.round_trip_ms);
-    way.saturating_sub(sites[index].round_trip_ms)
-        .max(MIN_PATIENCE_MS)
+    let least = match sites[index].weight {
+        Some(_) if index == 0 => SPILL_MS,
+        _ => MIN_PATIENCE_MS,
+    };
+    way.saturating_sub(sites[index].round_trip_ms).max(least)
 }
 
-async fn ask_site(context: &Context, request: &Request, site: &str, patience: Duration) -> Answer {
+async fn ask_site(context: &Context, request: &Request, trace: &Asked) -> Answer {
     let key = PoolKey {
         service: request.service.clone(),
-        site: site.to_owned(),
+        site: trace.site.clone(),
     };
     let request = Request {
-        patience,
+        patience: Duration::from_millis(trace.patience_ms.into()),
         ..request.clone()
     };
     let answer = ask(context, &key, &request).await;
     if answer.reason == Reason::Overloaded {
         let now = context.node.now();
         let mut state = context.node.state();
-        state
-            .reports
-            .refused(&key.service, site, answer.retry_after, now);
+        state.reports.refused(&key, answer.retry_after, now);
     }
-    log::debug!(event = "site_asked", request = request.id.as_str(), site = site, reason:% = answer.reason; "site asked");
+    log::debug!(event = "site_asked", request = request.id.as_str(), site = key.site.as_str(), reason:% = answer.reason; "site asked");
     answer
 }
 
-/// The site with the shortest way and wait, but for those that are out.
-fn shortest(state: &State, request: &Request, out: &[&str], now: Duration) -> Option<String> {
-    let open = candidates(
-        state,
-        &request.service,
-        &request.origin,
-        request.class(),
-        now,
-    );
-    let usable = |site: &Candidate| site.usable && site.weight != Some(0);
-    let open = open
-        .into_iter()
-        .filter(|site| usable(site) && !out.contains(&site.site.as_str()));
-    let best = open.min_by_key(|site| site.round_trip_ms.saturating_add(site.wait_ms));
-    best.map(|site| site.site)
+/// The site with the shortest way and wait, but for those that cannot take it.
+fn shortest(state: &State, request: &Request, asked: &[Asked], now: Duration) -> Option<Candidate> {
+    let closed = |site: &Candidate| {
+        let mut said = asked.iter().filter(|asked| asked.site == site.site);
+        said.any(|asked| !matches!(asked.reason, None | Some(Reason::Overloaded)))
+    };
+    let open = order(state, request, now, 0.0).into_iter();
+    let open = open.filter(|site| !closed(site));
+    open.min_by_key(|site| site.round_trip_ms.saturating_add(site.wait_ms))
 }
 
 async fn ask(context: &Context, key: &PoolKey, request: &Request) -> Answer {
@@ -198,10 +220,7 @@
     let own = state.pools.get(key).filter(|owned| owned.admits(now));
     let wait = match own {
         Some(owned) => owned.pool.wait(class, now),
-        None => state
-            .reports
-            .wait(&key.service, &key.site, now)
-            .unwrap_or(UNKNOWN_WAIT),
+        None => state.reports.wait(key, now).unwrap_or(UNKNOWN_WAIT),
     };
     u32::try_from(wait.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -16,7 +16,7 @@
 pub use health::Health;
 pub use pool::{Admission, Class, End, Grant, Limits, Offer, Pool, Snapshot, TargetSnapshot};
 pub use quarantine::{LIMIT as QUARANTINE_LIMIT, Quarantine};
-pub use site::{Candidate, Choice, order};
+pub use site::{Candidate, Choice, SPILL_MS, order};
 pub use window::Window;
 
 /// Name of a pool: the targets of one service at one site.
--- a/crates/steer/src/site.rs
+++ b/crates/steer/src/site.rs
@@ -16,7 +16,7 @@
 }
 
 /// A site loses its turn when another would answer sooner by this much.
-const SPILL_MS: u32 = 50;
+pub const SPILL_MS: u32 = 50;
 
 /// The first site to ask, worked out ahead of the requests that ask it.
 ///
