Keep the cost of members, owners and look-ups flat in the number of sites

Cause: reading for the page on capacity showed work that grows with the product of pools, members and sites: ownership looked up each member's site by name for each pool, look-up answers did so for each service and region every 250 ms, and caps summed all slots for each pool. At 520 members, 480 pools and 160 sites that is some hundred million comparisons for each change.

Change: members are placed once (`Places`), answers near a site are worked out when members change and not with the waits, caps use slots that pools know. Hop-by-hop headers stand once.

--- a/crates/entry/src/caller/parse.rs
+++ b/crates/entry/src/caller/parse.rs
@@ -16,19 +16,8 @@
 const RETRY_NEVER: Duration = Duration::from_hours(1);
 const MAX_FORWARDED_HEADERS: usize = 64;
 
-/// Headers that are not passed on to upstreams.
-const DROPPED: [&str; 10] = [
-    "connection",
-    "keep-alive",
-    "transfer-encoding",
-    "te",
-    "trailer",
-    "upgrade",
-    "content-length",
-    "expect",
-    "host",
-    "x-request-id",
-];
+/// Headers that are not passed on to upstreams, besides those of one connection.
+const DROPPED: [&str; 3] = ["expect", "host", header::REQUEST_ID];
 
 /// Makes a request out of what a caller sent, or the answer that says what is wrong.
 pub(crate) fn parse(
@@ -148,7 +137,7 @@
     let kept = http.headers().iter().filter(|(name, _)| {
         let name = name.as_str();
         let own = name.starts_with("cicadalift-") || name == header::IDEMPOTENCY_KEY;
-        !own && !DROPPED.contains(&name)
+        !own && !DROPPED.contains(&name) && !header::HOP_BY_HOP.contains(&name)
     });
     let text = kept.filter_map(|(name, value)| {
         Some(Header {
--- a/crates/entry/src/node/directory.rs
+++ b/crates/entry/src/node/directory.rs
@@ -1,11 +1,8 @@
 //! Look-up answers, worked out ahead of the look-ups.
 
 use {
-    super::State,
-    crate::{
-        node::{marked_vms, tier},
-        steering,
-    },
+    super::{Places, State, marked_vms},
+    crate::steering,
     std::time::Duration,
     steer::{Choice, Class},
     wire::{Entry, Map, Member},
@@ -16,84 +13,90 @@
 /// VMs near a site among which the others of an answer are drawn.
 const MAX_NEAR: usize = 12;
 
-/// The VMs to name for a site.
-#[derive(Default)]
-struct Row {
-    owner: Option<Entry>,
-    near: Vec<Entry>,
-}
-
 /// Answers by service and region, so that a look-up searches and computes nothing
 /// whose cost grows with the fleet.
 #[derive(Default)]
 pub(crate) struct Directory {
     /// By service: for each region, the sites and the choice among them.
-    services: Map<String, Vec<Sites>>,
-    /// By region, for look-ups that name no service.
-    regions: Vec<Row>,
+    choices: Map<String, Vec<Sites>>,
+    /// By pool: the VM that owns it.
+    owners: Map<String, Entry>,
+    /// By site: VMs in it, or else the nearest.
+    near: Map<String, Vec<Entry>>,
+    /// By region: its first site.
+    homes: Vec<String>,
 }
 
 struct Sites {
     choice: Choice,
-    rows: Vec<Row>,
+    names: Vec<String>,
 }
 
 impl Directory {
-    /// Works out all answers.
-    pub(crate) fn build(state: &State, now: Duration) -> Self {
+    /// Works out which VMs own pools and stand near sites, after members, owners or
+    /// marks have changed.
+    pub(crate) fn set_vms(&mut self, state: &State) {
         let serving = listed(state);
-        let mut services = Map::default();
+        let places = Places::of(&state.fleet, &serving);
+        let sites = state.fleet.sites.iter().enumerate();
+        self.near = sites
+            .map(|(index, site)| (site.name.clone(), near(&places, index)))
+            .collect();
+        let by_name: Map<&str, &Member> = serving
+            .iter()
+            .map(|member| (member.name.as_str(), *member))
+            .collect();
+        let owned = state.pools.iter().filter_map(|(key, owned)| {
+            let owner = by_name.get(owned.owner.as_deref()?)?;
+            Some((steer::pool_name(&key.service, &key.site), entry(owner)))
+        });
+        self.owners = owned.collect();
+        let home = |region: &settings::Region| {
+            let mut sites = state.fleet.sites.iter();
+            let site = sites.find(|site| site.region == region.name);
+            site.map(|site| site.name.clone()).unwrap_or_default()
+        };
+        self.homes = state.fleet.regions.iter().map(home).collect();
+    }
+
+    /// Works out the choice among sites, as their waits and the preset have it now.
+    pub(crate) fn set_choices(&mut self, state: &State, now: Duration) {
+        let class = Class::Idempotent;
         for service in &state.fleet.services {
             let regions = state.fleet.regions.iter();
             let sites = regions.map(|region| {
-                let class = Class::Idempotent;
                 let candidates =
                     steering::candidates(state, &service.name, &region.name, class, now);
-                let row = |site: &str| row(state, &serving, Some(&service.name), site);
                 Sites {
                     choice: Choice::build(&candidates),
-                    rows: candidates.iter().map(|one| row(&one.site)).collect(),
+                    names: candidates.into_iter().map(|one| one.site).collect(),
                 }
             });
-            services.insert(service.name.clone(), sites.collect());
-        }
-        let home = |region: &settings::Region| {
-            let site = state
-                .fleet
-                .sites
-                .iter()
-                .find(|site| site.region == region.name);
-            site.map(|site| row(state, &serving, None, &site.name))
-                .unwrap_or_default()
-        };
-        Self {
-            services,
-            regions: state.fleet.regions.iter().map(home).collect(),
+            self.choices.insert(service.name.clone(), sites.collect());
         }
     }
 
-    /// The VMs for a caller: the owner of the best pool, then others near it.
+    /// The VMs for a caller: the owner of the best pool, then others near it in an
+    /// order turned by chance.
     pub(crate) fn vms(&self, service: Option<&str>, region: usize, chance: f64) -> Vec<Entry> {
-        let sites = service.and_then(|service| self.services.get(service)?.get(region));
-        let row = match sites {
+        let sites = service.and_then(|service| self.choices.get(service)?.get(region));
+        let site = match sites {
             Some(sites) => sites
                 .choice
                 .pick(chance)
-                .and_then(|site| sites.rows.get(site)),
-            None => self.regions.get(region),
+                .and_then(|site| sites.names.get(site)),
+            None => self.homes.get(region),
         };
-        row.map(|row| row.vms(chance)).unwrap_or_default()
-    }
-}
-
-impl Row {
-    /// The owner first, then others in an order turned by chance.
-    fn vms(&self, chance: f64) -> Vec<Entry> {
-        let count = self.near.len();
-        let turn = scale(chance, count);
-        let near = (0..count).map(|step| &self.near[(turn + step) % count]);
-        let owner = self.owner.as_ref();
-        let others = near.filter(|one| owner.is_none_or(|owner| owner.name != one.name));
+        let Some(site) = site else {
+            return Vec::new();
+        };
+        let pool = service.map(|service| steer::pool_name(service, site));
+        let owner = pool.and_then(|pool| self.owners.get(&pool));
+        let near = self.near.get(site).map(Vec::as_slice).unwrap_or_default();
+        let turn = scale(chance, near.len());
+        let (before, after) = near.split_at(turn);
+        let others = after.iter().chain(before);
+        let others = others.filter(|one| owner.is_none_or(|owner| owner.name != one.name));
         owner
             .into_iter()
             .chain(others)
@@ -121,33 +124,16 @@
     serving
 }
 
-fn row(state: &State, serving: &[&Member], service: Option<&str>, site: &str) -> Row {
-    let owner = service.and_then(|service| owner_of(state, service, site));
-    let owner = owner.and_then(|name| serving.iter().find(|member| member.name == name));
-    let nearest = serving
-        .iter()
-        .map(|member| tier(&state.fleet, site, member))
-        .min();
-    let near = serving
-        .iter()
-        .filter(|member| Some(tier(&state.fleet, site, member)) == nearest);
-    let mut near: Vec<Entry> = near.take(MAX_NEAR).map(|member| entry(member)).collect();
-    if near.len() < MAX_VMS {
-        let far = serving
-            .iter()
-            .filter(|member| Some(tier(&state.fleet, site, member)) != nearest);
-        near.extend(far.take(MAX_VMS - near.len()).map(|member| entry(member)));
-    }
-    Row {
-        owner: owner.map(|member| entry(member)),
-        near,
+/// VMs in a site; with fewer than an answer holds, others by nearness.
+fn near(places: &Places<'_>, site: usize) -> Vec<Entry> {
+    let mut near = Vec::new();
+    for tier in 0..Places::TIERS {
+        let most = if tier == 0 { MAX_NEAR } else { MAX_VMS };
+        let here = places.members(site).filter(|(_, own)| *own == tier);
+        let room = most.saturating_sub(near.len());
+        near.extend(here.take(room).map(|(member, _)| entry(member)));
     }
-}
-
-fn owner_of<'a>(state: &'a State, service: &str, site: &str) -> Option<&'a str> {
-    let mut pools = state.pools.iter();
-    let found = pools.find(|(key, _)| key.service == service && key.site == site);
-    found.and_then(|(_, owned)| owned.owner.as_deref())
+    near
 }
 
 fn entry(member: &Member) -> Entry {
--- a/crates/entry/src/node/mod.rs
+++ b/crates/entry/src/node/mod.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod flight;
 mod owned;
+mod places;
 mod refusals;
 mod reports;
 mod request;
@@ -11,9 +12,9 @@
 mod state;
 
 pub(crate) use directory::Directory;
-pub(crate) use fleet::tier;
 pub(crate) use flight::Flight;
 pub(crate) use owned::{Owned, Ownership, PoolKey};
+pub(crate) use places::Places;
 pub(crate) use refusals::{Asked, Refusals};
 pub(crate) use reports::Reports;
 pub(crate) use request::{Answer, Request};
--- a/crates/entry/src/node/owned.rs
+++ b/crates/entry/src/node/owned.rs
@@ -43,6 +43,10 @@
 /// A pool with the requests that wait in it on this VM.
 pub(crate) struct Owned {
     pub(crate) pool: Pool,
+    /// Position of the site in the fleet settings.
+    pub(crate) site: usize,
+    /// Region of the site.
+    pub(crate) region: String,
     pub(crate) targets: Vec<Target>,
     pub(crate) owner: Option<String>,
     /// The VM that would own the pool if this one did not.
@@ -54,13 +58,15 @@
 }
 
 impl Owned {
-    pub(crate) fn new(region: &str, targets: Vec<Target>) -> Self {
+    pub(crate) fn new(site: usize, region: &str, targets: Vec<Target>) -> Self {
         let named: Vec<(&str, u32)> = targets
             .iter()
             .map(|target| (target.name.as_str(), target.slots))
             .collect();
         Self {
             pool: Pool::new(region, &named),
+            site,
+            region: region.to_owned(),
             targets,
             owner: None,
             former: None,
@@ -70,6 +76,11 @@
         }
     }
 
+    /// Slots of all targets.
+    pub(crate) fn slots(&self) -> u32 {
+        self.targets.iter().map(|target| target.slots).sum()
+    }
+
     /// Notes who owns the pool now, and who would if this VM did not.
     pub(crate) fn set_owner(
         &mut self,
--- a/crates/entry/src/node/state.rs
+++ b/crates/entry/src/node/state.rs
@@ -1,7 +1,7 @@
 //! The part of a node that changes.
 
 use {
-    super::{Directory, Owned, PoolKey, Refusals, Reports, fleet},
+    super::{Directory, Owned, Places, PoolKey, Refusals, Reports, fleet},
     control::Replica,
     member::View,
     settings::Fleet,
@@ -100,8 +100,13 @@
             return;
         };
         let fleet = &self.fleet;
+        let mut region_slots: Map<String, u32> = Map::default();
+        for owned in self.pools.values() {
+            *region_slots.entry(owned.region.clone()).or_default() += owned.slots();
+        }
         for (key, owned) in &mut self.pools {
-            let limits = fleet::limits(fleet, &document, &key.service, &key.site);
+            let part = (owned.slots(), region_slots[&owned.region]);
+            let limits = fleet::limits(fleet, &document, key, &owned.region, part);
             owned.pool.set_limits(&limits);
             for (index, target) in owned.targets.iter().enumerate() {
                 let leaving =
@@ -118,7 +123,7 @@
         if self.settled != current {
             self.settled = current;
             self.assign(now);
-            self.directory = Directory::build(self, now);
+            self.publish(now);
         }
         for owned in self.pools.values_mut() {
             owned.settle(now);
@@ -136,18 +141,33 @@
         if serving.is_empty() {
             serving = all;
         }
-        let others: Vec<&Member> = serving.iter().copied().filter(|m| m.name != me).collect();
+        let places = Places::of(fleet, &serving);
         for (key, owned) in &mut self.pools {
             let name = steer::pool_name(&key.service, &key.site);
-            let near = |member: &Member| fleet::tier(fleet, &key.site, member);
-            let owner = member::owner(&name, &serving, near);
-            let former = member::owner(&name, &others, near);
+            let near = || places.members(owned.site);
+            let owner = member::owner(&name, near());
+            let former = member::owner(&name, near().filter(|(member, _)| member.name != me));
             let named = |member: Option<&Member>| member.map(|member| member.name.clone());
             let (owner, former) = (named(owner), named(former));
             owned.set_owner(owner.as_deref(), former.as_deref(), &me, now);
         }
     }
 
+    /// Works look-up answers out anew.
+    fn publish(&mut self, now: Duration) {
+        let mut directory = Directory::default();
+        directory.set_vms(self);
+        directory.set_choices(self, now);
+        self.directory = directory;
+    }
+
+    /// Works the choices among sites out anew, as waits have changed.
+    pub(crate) fn refresh(&mut self, now: Duration) {
+        let mut directory = std::mem::take(&mut self.directory);
+        directory.set_choices(self, now);
+        self.directory = directory;
+    }
+
     /// Whether this VM may trust its document: the platform gave it one since the
     /// start, or enough members were asked for theirs.
     pub(crate) fn informed(&self) -> bool {
@@ -187,7 +207,7 @@
 fn build_pools(fleet: &Fleet) -> BTreeMap<PoolKey, Owned> {
     let mut pools = BTreeMap::new();
     for service in &fleet.services {
-        for site in &fleet.sites {
+        for (index, site) in fleet.sites.iter().enumerate() {
             let here = service
                 .targets
                 .iter()
@@ -200,7 +220,7 @@
                 service: service.name.clone(),
                 site: site.name.clone(),
             };
-            pools.insert(key, Owned::new(&site.region, targets));
+            pools.insert(key, Owned::new(index, &site.region, targets));
         }
     }
     pools
--- a/crates/entry/src/peers/prober.rs
+++ b/crates/entry/src/peers/prober.rs
@@ -2,10 +2,7 @@
 
 use {
     super::{calls, exchange},
-    crate::{
-        node::{Directory, Node},
-        upstream::Clients,
-    },
+    crate::{node::Node, upstream::Clients},
     actix::{Actor, AsyncContext, Context},
     std::{sync::Arc, time::Duration},
     wire::{Member, Status},
@@ -137,5 +134,5 @@
     let now = node.now();
     let mut state = node.state();
     exchange::report_pools(&mut state, now);
-    state.directory = Directory::build(&state, now);
+    state.refresh(now);
 }
--- a/crates/entry/src/steering/route.rs
+++ b/crates/entry/src/steering/route.rs
@@ -198,19 +198,14 @@
     let preset = document.and_then(|document| fleet.preset(&document.preset));
     let share = preset.and_then(|preset| preset.shares.get(service));
     let pools = state.pools.iter().filter(|(key, _)| key.service == service);
-    let candidate = pools.filter_map(|(key, owned)| {
-        let site = fleet.sites.iter().find(|site| site.name == key.site)?;
-        let link = fleet.link(origin, &site.region);
-        let leaving = |target: &settings::Target| {
-            document.is_some_and(|d| control::is_leaving(d, service, &target.zone, &target.name))
-        };
-        Some(Candidate {
-            site: key.site.clone(),
-            weight: share.map(|share| share.sites.get(&key.site).copied().unwrap_or(0)),
-            round_trip_ms: link.map_or(0, |link| 2 * link.one_way_ms),
-            wait_ms: wait_ms(state, key, class, now),
-            usable: !owned.targets.iter().all(leaving),
-        })
+    let candidate = pools.map(|(key, owned)| Candidate {
+        site: key.site.clone(),
+        weight: share.map(|share| share.sites.get(&key.site).copied().unwrap_or(0)),
+        round_trip_ms: fleet
+            .link(origin, &owned.region)
+            .map_or(0, |link| 2 * link.one_way_ms),
+        wait_ms: wait_ms(state, key, class, now),
+        usable: owned.pool.takes_work(),
     });
     candidate.collect()
 }
--- a/crates/entry/src/upstream/exchange.rs
+++ b/crates/entry/src/upstream/exchange.rs
@@ -22,17 +22,6 @@
 /// After a pause, time to read an answer that came in the meantime.
 const PAUSE_GRACE: Duration = Duration::from_millis(250);
 
-/// Headers that belong to one connection and are not passed on.
-const HOP_BY_HOP: [&str; 7] = [
-    "connection",
-    "keep-alive",
-    "transfer-encoding",
-    "te",
-    "trailer",
-    "upgrade",
-    "content-length",
-];
-
 /// How an exchange ended.
 #[derive(Debug)]
 pub(crate) enum Ending {
@@ -148,7 +137,7 @@
 fn passed_on(headers: &HeaderMap) -> Vec<Header> {
     let kept = headers.iter().filter(|(name, _)| {
         let name = name.as_str();
-        !HOP_BY_HOP.contains(&name) && !name.starts_with("cicadalift-")
+        !header::HOP_BY_HOP.contains(&name) && !name.starts_with("cicadalift-")
     });
     let text = kept.filter_map(|(name, value)| {
         Some(Header {
--- a/crates/measure/src/bin/cicadalift-measure.rs
+++ b/crates/measure/src/bin/cicadalift-measure.rs
@@ -104,6 +104,12 @@
     println!("{:<52} {:>8} {:>14} unit", "what", "size", "value");
     show(&measure::slopes());
     show(&measure::lookups(&[1000, 2000, 4000]).await?);
+    for sites in [6, 40, 160] {
+        show(&measure::resting_at(sites, 1, window).await?);
+    }
+    for blocks in [1_000, 31_000, 310_000] {
+        show(&measure::resting_at(160, blocks, window).await?);
+    }
     for count in vms {
         show(&measure::resting(*count, window).await?);
     }
@@ -216,6 +222,12 @@
     }
 }
 
+/// The VM that owns the first pool of the measured service.
+async fn owner(rig: &Rig) -> usize {
+    let (service, site) = (&rig.fleet.services[0].name, &rig.fleet.sites[0].name);
+    rig.owner(service, site).await.unwrap_or(0)
+}
+
 async fn inject(rig: &mut Rig, fault: Fault, target: &str, service_ms: f64) -> Result<()> {
     let behaviour = |service_ms, fault| upstream::Behaviour {
         service_ms,
@@ -236,11 +248,15 @@
             let down = behaviour(service_ms, upstream::Fault::Down);
             rig.set_targets(target, down).await?;
         }
-        Fault::KillVm => rig.vms[0].kill(),
+        Fault::KillVm => {
+            let owner = owner(rig).await;
+            rig.vms[owner].kill();
+        }
         Fault::FreezeVm => {
-            rig.vms[0].freeze();
+            let owner = owner(rig).await;
+            rig.vms[owner].freeze();
             actix_rt::time::sleep(FREEZE).await;
-            rig.vms[0].resume();
+            rig.vms[owner].resume();
         }
         Fault::PlatformDown => {
             let down = stand::platform::Fault {
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -8,6 +8,7 @@
 )]
 
 mod baseline;
+mod fleet;
 mod load;
 mod plot;
 mod result;
@@ -15,8 +16,9 @@
 mod slopes;
 
 pub use baseline::{Baseline, Policy};
+pub use fleet::fleet;
 pub use load::{Open, Target};
 pub use plot::plot;
 pub use result::Cell;
 pub use scene::{Fault, Scene, scenes};
-pub use slopes::{Slope, lookups, resting, slopes};
+pub use slopes::{Slope, lookups, resting, resting_at, slopes};
--- a/crates/measure/src/scene.rs
+++ b/crates/measure/src/scene.rs
@@ -11,9 +11,9 @@
     SilentTarget,
     /// One target refuses connections.
     DownTarget,
-    /// One entry VM is killed.
+    /// The VM that owns a pool is killed.
     KillVm,
-    /// One entry VM is frozen and wakes.
+    /// The VM that owns a pool is frozen and wakes.
     FreezeVm,
     /// The platform is down.
     PlatformDown,
--- a/crates/measure/src/slopes.rs
+++ b/crates/measure/src/slopes.rs
@@ -1,6 +1,7 @@
 //! Slopes of state, messages and processor time, for `docs/CAPACITY.md`.
 
 use {
+    crate::fleet,
     member::{Member, Status, Timing, View},
     rand::{Rng, SeedableRng, rngs::StdRng},
     rig::{Options, Rig, RigError},
@@ -164,7 +165,8 @@
     let start = Instant::now();
     for _ in 0..ROUNDS / 10 {
         for name in &names {
-            black_box(member::owner(name, &serving, |_| 0));
+            let members = serving.iter().map(|member| (*member, 0));
+            black_box(member::owner(name, members));
         }
     }
     let what = if members.len() > 100 {
@@ -303,6 +305,47 @@
     ])
 }
 
+/// Points of real VMs at rest with settings of so many sites and client blocks.
+///
+/// # Errors
+/// When the rig cannot be started.
+pub async fn resting_at(
+    sites: usize,
+    blocks: usize,
+    window: Duration,
+) -> Result<Vec<Slope>, RigError> {
+    let rig = Rig::start(Options {
+        vms: 3,
+        log: "warn".to_owned(),
+        fleet: Some(fleet(sites, blocks)),
+        ..Options::default()
+    })
+    .await?;
+    actix_rt::time::sleep(Duration::from_secs(5)).await;
+    let ids: Vec<u32> = rig.vms.iter().map(rig::Process::id).collect();
+    let before = cpu_s(&ids);
+    actix_rt::time::sleep(window).await;
+    let seconds = window.as_secs_f64() * ids.len() as f64;
+    let used = (cpu_s(&ids) - before) / seconds * 100.0;
+    let pools = 3 * sites;
+    let (cpu, memory) = if blocks > 1 {
+        (
+            "VM at rest, 480 pools, by client blocks: processor",
+            "VM at rest, 480 pools, by client blocks: memory",
+        )
+    } else {
+        (
+            "VM at rest, by pools: processor",
+            "VM at rest, by pools: memory",
+        )
+    };
+    let size = if blocks > 1 { blocks } else { pools };
+    Ok(vec![
+        point(cpu, size, used, "% of a core"),
+        point(memory, size, rss_mb(&ids), "MB"),
+    ])
+}
+
 /// Processor time of one look-up over HTTP on one VM.
 ///
 /// # Errors
--- a/crates/member/src/owner.rs
+++ b/crates/member/src/owner.rs
@@ -1,27 +1,25 @@
 //! Which VM runs the queue of a pool.
 
-use {wire::Member, xxhash_rust::xxh3::xxh3_64};
+use {std::cmp::Reverse, wire::Member, xxhash_rust::xxh3::Xxh3};
 
 /// Chooses the owner of a pool by rendezvous hashing over the serving members.
 ///
-/// Members for which `tier` is lowest come first: those in the pool's site, then
-/// those in its region, then all others. A member that leaves moves only its own pools.
+/// Members with the lowest tier come first: those in the pool's site, then those
+/// in its region, then all others. A member that leaves moves only its own pools.
 #[must_use]
 pub fn owner<'a>(
     pool: &str,
-    serving: &[&'a Member],
-    tier: impl Fn(&Member) -> u8,
+    serving: impl IntoIterator<Item = (&'a Member, u8)>,
 ) -> Option<&'a Member> {
-    let best = serving
-        .iter()
-        .min_by_key(|member| (tier(member), std::cmp::Reverse(weight(pool, &member.name))));
-    best.copied()
+    let members = serving.into_iter();
+    let best = members.min_by_key(|(member, tier)| (*tier, Reverse(weight(pool, &member.name))));
+    best.map(|(member, _)| member)
 }
 
 fn weight(pool: &str, member: &str) -> u64 {
-    let mut text = String::with_capacity(pool.len() + member.len() + 1);
-    text.push_str(pool);
-    text.push('\n');
-    text.push_str(member);
-    xxh3_64(text.as_bytes())
+    let mut hash = Xxh3::new();
+    hash.update(pool.as_bytes());
+    hash.update(b"\n");
+    hash.update(member.as_bytes());
+    hash.digest()
 }
--- a/crates/member/tests/view.rs
+++ b/crates/member/tests/view.rs
@@ -103,18 +103,27 @@
     let members: Vec<Member> = (0..8)
         .map(|i| member(&format!("vm{i}"), 1, 0, Status::Alive))
         .collect();
-    let all: Vec<&Member> = members.iter().collect();
-    let first = owner("racegate@pasig", &all, |_| 0).unwrap().name.clone();
-    let fewer: Vec<&Member> = all.iter().copied().filter(|m| m.name != first).collect();
-
-    for gone in &fewer {
-        let rest: Vec<&Member> = all
-            .iter()
-            .copied()
-            .filter(|m| m.name != gone.name)
-            .collect();
-        assert_eq!(owner("racegate@pasig", &rest, |_| 0).unwrap().name, first);
+    let without = |gone: &str| {
+        let rest = members.iter().filter(|member| member.name != gone);
+        let owner = owner("racegate@pasig", rest.map(|member| (member, 0)));
+        owner.unwrap().name.clone()
+    };
+    let first = without("");
+
+    for gone in members.iter().filter(|member| member.name != first) {
+        assert_eq!(without(&gone.name), first);
     }
 
-    assert_ne!(owner("racegate@pasig", &fewer, |_| 0).unwrap().name, first);
+    assert_ne!(without(&first), first);
+}
+
+#[test]
+fn owner_is_taken_from_the_nearest_tier() {
+    let far = member("far", 1, 0, Status::Alive);
+    let near = member("near", 1, 0, Status::Alive);
+
+    for pool in ["a@x", "b@x", "c@x", "d@x"] {
+        let owner = owner(pool, [(&far, 1), (&near, 0)]).unwrap();
+        assert_eq!(owner.name, "near");
+    }
 }
--- a/crates/rig/src/rig.rs
+++ b/crates/rig/src/rig.rs
@@ -41,6 +41,8 @@
     pub log: String,
     /// Seed of the stand-ins.
     pub seed: u64,
+    /// Fleet settings to use in place of the shipped ones.
+    pub fleet: Option<String>,
     /// Pieces of the shipped settings to replace, each with its replacement.
     pub replace: Vec<(String, String)>,
 }
@@ -54,6 +56,7 @@
             faults: false,
             log: "info".to_owned(),
             seed: 1,
+            fleet: None,
             replace: Vec::new(),
         }
     }
@@ -111,7 +114,10 @@
         let shipped = workspace()
             .join("settings")
             .join(format!("{}.yaml", options.firm));
-        let text = fs::read_to_string(&shipped).map_err(RigError::io("fleet settings"))?;
+        let text = match &options.fleet {
+            Some(text) => text.clone(),
+            None => fs::read_to_string(&shipped).map_err(RigError::io("fleet settings"))?,
+        };
         let text = options
             .replace
             .iter()
--- a/crates/steer/src/pool.rs
+++ b/crates/steer/src/pool.rs
@@ -356,6 +356,12 @@
         Duration::from_secs_f64(ms / 1000.0)
     }
 
+    /// Whether any target is not leaving.
+    #[must_use]
+    pub fn takes_work(&self) -> bool {
+        self.targets.iter().any(|target| !target.leaving)
+    }
+
     /// Expected wait of a new request of a class.
     #[must_use]
     pub fn wait(&self, class: Class, now: Duration) -> Duration {
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -20,3 +20,14 @@
 pub const DEADLINE_MS: &str = "x-deadline-ms";
 /// Set by an upstream that refused to run a request.
 pub const SHED: &str = "x-shed";
+
+/// Headers that belong to one connection and are not passed on.
+pub const HOP_BY_HOP: [&str; 7] = [
+    "connection",
+    "keep-alive",
+    "transfer-encoding",
+    "te",
+    "trailer",
+    "upgrade",
+    "content-length",
+];
