--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -4,6 +4,7 @@
 mod admin;
 mod audit;
 mod errors;
+mod interfaces;
 mod layout;
 mod load;
 mod process;
