--- a/crates/entry/src/watch/poller.rs
+++ b/crates/entry/src/watch/poller.rs
@@ -13,8 +13,9 @@
 
 const CONTROL_INTERVAL: Duration = Duration::from_secs(2);
 const LIST_INTERVAL: Duration = Duration::from_secs(5);
-const SWEEP_INTERVAL: Duration = Duration::from_mins(1);
-const SWEEP_ROWS: u32 = 500;
+const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
+/// Rows in one sweep: 1,000 a second, more than claims can be written.
+const SWEEP_ROWS: u32 = 5000;
 
 /// Polls the platform for one node.
 pub(crate) struct Poller {
