--- /dev/null
+++ b/crates/balance/src/gauge.rs
@@ -0,0 +1,101 @@
+//! What this VM knows of one target's load and health.
+
+use {std::time::Duration, steer::Health};
+
+/// Others' requests that a report told of are forgotten at this pace.
+const REPORT_DECAY_S: f64 = 0.4;
+/// Part of a new sample in the moving means.
+const STEP: f64 = 0.2;
+/// Bounds on how much slower than its service a target may be taken for.
+const SLOWNESS: (f64, f64) = (0.5, 20.0);
+
+/// Load that a target states in its answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Report {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that may run at a time.
+    pub slots: u32,
+}
+
+/// Load and health of one target.
+#[derive(Debug, Clone)]
+pub struct Gauge {
+    /// Requests of this VM without an answer.
+    pub own: u32,
+    /// Ejection after failures.
+    pub health: Health,
+    others: f64,
+    others_at: Duration,
+    /// Requests of a peer in the same zone, which says so itself.
+    peers: f64,
+    trouble: f64,
+    trouble_at: Duration,
+    slowness: f64,
+}
+
+impl Default for Gauge {
+    fn default() -> Self {
+        Self {
+            own: 0,
+            health: Health::default(),
+            others: 0.0,
+            others_at: Duration::ZERO,
+            peers: 0.0,
+            trouble: 0.0,
+            trouble_at: Duration::ZERO,
+            slowness: 1.0,
+        }
+    }
+}
+
+impl Gauge {
+    /// Takes a target's report; what is not this VM's own is others'.
+    pub fn report(&mut self, report: Report, now: Duration) {
+        let all = f64::from(report.running + report.waiting);
+        self.others = (all - f64::from(self.own)).max(0.0);
+        self.others_at = now;
+    }
+
+    /// Takes what peers say that they have at the target.
+    pub fn set_peers(&mut self, running: u32) {
+        self.peers = f64::from(running);
+    }
+
+    /// Requests at the target, of all VMs, as far as this VM can tell.
+    #[must_use]
+    pub fn in_flight(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.others_at).as_secs_f64();
+        let others = self.others * (-age / REPORT_DECAY_S).exp();
+        f64::from(self.own) + others.max(self.peers)
+    }
+
+    /// Notes whether a request was turned away or spoilt by the target.
+    pub fn note_trouble(&mut self, bad: bool, now: Duration) {
+        let sample = if bad { 1.0 } else { 0.0 };
+        self.trouble = self.trouble(now) + STEP * (sample - self.trouble(now));
+        self.trouble_at = now;
+    }
+
+    /// Part of recent requests that the target turned away or spoilt.
+    #[must_use]
+    pub fn trouble(&self, now: Duration) -> f64 {
+        const FORGET_S: f64 = 5.0;
+        let age = now.saturating_sub(self.trouble_at).as_secs_f64();
+        self.trouble * (-age / FORGET_S).exp()
+    }
+
+    /// Notes how long a request ran against what its route leads to expect.
+    pub fn note_time(&mut self, ran_s: f64, expected_s: f64) {
+        let ratio = (ran_s / expected_s.max(0.001)).clamp(SLOWNESS.0, SLOWNESS.1);
+        self.slowness += STEP * (ratio - self.slowness);
+    }
+
+    /// Running time at this target relative to its service.
+    #[must_use]
+    pub fn slowness(&self) -> f64 {
+        self.slowness.max(1.0)
+    }
+}
--- a/crates/entry/src/claims/batcher.rs
+++ b/crates/entry/src/claims/batcher.rs
@@ -4,7 +4,7 @@
     actix::{
         Actor, ActorFutureExt, AsyncContext, Context, Handler, Message, ResponseFuture, WrapFuture,
     },
-    platform::{Op, OpResult, Row, StoreError, Table},
+    ports::{Op, OpResult, Row, StoreError, Table},
     std::time::{Duration, Instant},
     tokio::sync::oneshot,
 };
--- a/crates/entry/src/claims/record.rs
+++ b/crates/entry/src/claims/record.rs
@@ -6,7 +6,7 @@
     actix::Addr,
     actix_web::web::Bytes,
     once::{Event, Existing},
-    platform::{Condition, Effect, Op, OpResult, Row, StoreError},
+    ports::{Condition, Effect, Op, OpResult, Row, StoreError},
     std::time::Duration,
     wire::{Claim, Outcome, Phase, Reason},
 };
--- a/crates/entry/src/launch.rs
+++ b/crates/entry/src/launch.rs
@@ -22,7 +22,7 @@
     },
     member::{Timing, View},
     metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle},
-    platform::{Clock, Listed},
+    ports::{Clock, Listed},
     settings::{Fleet, Vm},
     std::{net::SocketAddr, process::ExitCode, sync::Arc, time::Duration},
     tokio::signal::unix::{SignalKind, signal},
@@ -94,7 +94,7 @@
     let metrics = PrometheusBuilder::new()
         .install_recorder()
         .wrap_err("metrics cannot be set up")?;
-    let platform = platform::http::platform(&vm.platform);
+    let platform = ports::http::platform(&vm.platform);
     let clock = Clock::system();
     let claims = Batcher::new(platform.table.clone(), commit_interval(&fleet)).start();
     let site = fleet.site_of_zone(&vm.zone);
@@ -196,7 +196,7 @@
     listen(node.vm.operator, "operators", move |config| {
         config.app_data(web::Data::new(operator::Shared {
             context: context(&shared),
-            platform: platform::http::platform(&shared.vm.platform),
+            platform: ports::http::platform(&shared.vm.platform),
             metrics: metrics.clone(),
         }));
         operator::routes(config);
--- a/crates/entry/src/node/shared.rs
+++ b/crates/entry/src/node/shared.rs
@@ -4,7 +4,7 @@
     super::State,
     crate::claims::Batcher,
     actix::Addr,
-    platform::Clock,
+    ports::Clock,
     settings::Vm,
     std::{
         sync::{Mutex, MutexGuard, PoisonError},
--- a/crates/entry/src/operator/handlers.rs
+++ b/crates/entry/src/operator/handlers.rs
@@ -5,7 +5,7 @@
     crate::run::Context,
     actix_web::{HttpRequest, HttpResponse, web},
     metrics_exporter_prometheus::PrometheusHandle,
-    platform::Platform,
+    ports::Platform,
     serde_json::json,
     wire::Proposal,
 };
--- a/crates/entry/src/operator/propose.rs
+++ b/crates/entry/src/operator/propose.rs
@@ -9,7 +9,7 @@
     },
     control::{Change, Kind, Proposer, Step, StoreEvent},
     futures_util::future::join_all,
-    platform::{Condition, Effect, Op, OpResult, Platform, StoreError},
+    ports::{Condition, Effect, Op, OpResult, Platform, StoreError},
     std::sync::Arc,
     wire::{Decision, Document, Proposal, Verdict},
 };
--- a/crates/entry/src/peers/exchange.rs
+++ b/crates/entry/src/peers/exchange.rs
@@ -8,7 +8,7 @@
         upstream::Clients,
     },
     futures_util::future::join_all,
-    platform::Listed,
+    ports::Listed,
     std::{sync::Arc, time::Duration},
     wire::{Gossip, Member, Poison, Pool, Status},
 };
--- a/crates/entry/src/watch/poller.rs
+++ b/crates/entry/src/watch/poller.rs
@@ -3,7 +3,7 @@
 use {
     crate::{node::Node, peers},
     actix::{Actor, AsyncContext, Context},
-    platform::{Condition, Effect, Op, OpResult, Platform, Range, StoreError},
+    ports::{Condition, Effect, Op, OpResult, Platform, Range, StoreError},
     std::{sync::Arc, time::Duration},
     wire::Document,
 };
--- /dev/null
+++ b/crates/gateway/src/exchange/client.rs
@@ -0,0 +1,57 @@
+//! Idle connections, by address.
+
+use {
+    super::connection::Connection,
+    std::{cell::RefCell, net::SocketAddr, time::Duration},
+    tokio::time::Instant,
+    wire::Map,
+};
+
+/// Idle connections kept for one address.
+const MAX_IDLE: usize = 8;
+
+/// Opens connections and keeps those that may be used again.
+#[derive(Default)]
+pub struct Client {
+    idle: RefCell<Map<SocketAddr, Vec<Connection>>>,
+}
+
+impl Client {
+    /// An idle connection to the address, if one may be used.
+    pub(crate) fn take(&self, address: SocketAddr) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&address)?;
+        while let Some(connection) = kept.pop() {
+            if connection.is_usable() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection for the next request.
+    pub(crate) fn keep(&self, address: SocketAddr, mut connection: Connection, limit: Duration) {
+        connection.idle_since = Instant::now();
+        connection.idle_limit = limit;
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(address).or_default();
+        kept.retain(Connection::is_usable);
+        if kept.len() < MAX_IDLE {
+            kept.push(connection);
+        }
+    }
+
+    /// Closes idle connections that may not be used again.
+    pub(crate) fn sweep(&self) {
+        let mut idle = self.idle.borrow_mut();
+        for kept in idle.values_mut() {
+            kept.retain(Connection::is_usable);
+        }
+        idle.retain(|_, kept| !kept.is_empty());
+    }
+
+    /// Closes all idle connections to an address.
+    pub(crate) fn forget(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/exchange/outcome.rs
@@ -0,0 +1,109 @@
+//! How an exchange with a target ended.
+
+use {
+    balance::Report,
+    bytes::Bytes,
+    hyper::{HeaderMap, StatusCode},
+    std::{fmt, time::Duration},
+};
+
+/// A whole answer that a target made for this request.
+#[derive(Debug)]
+pub(crate) struct Response {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) report: Option<Report>,
+}
+
+/// How it is known that the target did not run the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum NotRun {
+    /// No connection was made.
+    Unreachable,
+    /// The connection ended before a byte was sent.
+    Unsent,
+    /// The target is full or leaving.
+    Shed,
+    /// Another target has the address.
+    Misdirected,
+}
+
+/// Why nothing is known of a request that was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Broken {
+    /// The connection ended without an answer.
+    Lost,
+    /// The answer ended early.
+    Cut,
+    /// The answer belongs to another request.
+    Foreign,
+    /// The answer bears no signature.
+    Unsigned,
+    /// The answer is longer than this VM holds.
+    TooLong,
+}
+
+/// The end of an exchange.
+#[derive(Debug)]
+pub(crate) enum Outcome {
+    /// The target answered.
+    Answered(Box<Response>),
+    /// The target did not run the request.
+    NotRun {
+        why: NotRun,
+        report: Option<Report>,
+        /// Time after which the target asks to be tried again.
+        retry_after: Option<Duration>,
+    },
+    /// The request may have run.
+    Broken(Broken),
+    /// The time was up.
+    TimedOut,
+}
+
+impl Outcome {
+    /// Word for logs and metrics.
+    pub(crate) fn word(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::NotRun { why, .. } => why.word(),
+            Self::Broken(why) => why.word(),
+            Self::TimedOut => "timed-out",
+        }
+    }
+}
+
+impl NotRun {
+    pub(crate) fn word(self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::Unsent => "unsent",
+            Self::Shed => "shed",
+            Self::Misdirected => "misdirected",
+        }
+    }
+
+    /// Whether the target saw the request.
+    pub(crate) fn arrived(self) -> bool {
+        matches!(self, Self::Shed | Self::Misdirected)
+    }
+}
+
+impl Broken {
+    fn word(self) -> &'static str {
+        match self {
+            Self::Lost => "lost",
+            Self::Cut => "cut",
+            Self::Foreign => "foreign",
+            Self::Unsigned => "unsigned",
+            Self::TooLong => "too-long",
+        }
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.word())
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/exchange/send.rs
@@ -0,0 +1,225 @@
+//! Sends one request to one target.
+
+use {
+    super::{Broken, Client, NotRun, Outcome, Response, connection::Connection},
+    crate::Names,
+    balance::Report,
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full, LengthLimitError, Limited},
+    hyper::{
+        HeaderMap, Method, Request, StatusCode, Uri,
+        body::Incoming,
+        client::conn::TrySendError,
+        header::{HeaderValue, RETRY_AFTER},
+    },
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::Instant,
+};
+
+/// Longest answer that is held.
+const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
+/// Idle connections are closed this much before the target may close them.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// Idle time where the target states none.
+const DEFAULT_IDLE: Duration = Duration::from_secs(3);
+const READY_WAIT: Duration = Duration::from_secs(1);
+
+/// A request as it goes to targets.
+#[derive(Debug)]
+pub(crate) struct Outgoing {
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) id: HeaderValue,
+}
+
+/// Where and until when to send.
+pub(crate) struct Way<'a> {
+    pub(crate) target: &'a str,
+    pub(crate) address: SocketAddr,
+    pub(crate) deadline: Instant,
+    pub(crate) connect_timeout: Duration,
+    /// Opens a connection for this request alone, so that no late answer can lie on it.
+    pub(crate) alone: bool,
+}
+
+impl Client {
+    /// Sends a request to a target and reads the whole answer.
+    pub(crate) async fn send(
+        self: &std::rc::Rc<Self>,
+        names: &Names,
+        outgoing: &Outgoing,
+        way: &Way<'_>,
+    ) -> Outcome {
+        let reused = if way.alone {
+            None
+        } else {
+            self.take(way.address)
+        };
+        let mut connection = match reused {
+            Some(connection) => connection,
+            None => match open(way).await {
+                Some(connection) => connection,
+                None => return not_run(NotRun::Unreachable),
+            },
+        };
+        let request = request(names, outgoing, way);
+        let sent = connection.sender.try_send_request(request);
+        let answer = match tokio::time::timeout_at(way.deadline, sent).await {
+            Err(_) => return Outcome::TimedOut,
+            Ok(Err(failed)) => return failed_send(failed),
+            Ok(Ok(answer)) => answer,
+        };
+        let (parts, body) = answer.into_parts();
+        let body = match tokio::time::timeout_at(way.deadline, collect(body)).await {
+            Err(_) => return Outcome::TimedOut,
+            Ok(Err(broken)) => return Outcome::Broken(broken),
+            Ok(Ok(body)) => body,
+        };
+        let outcome = judge(names, outgoing, parts.status, parts.headers, body);
+        if let Outcome::Answered(response) = &outcome {
+            self.keep_when_ready(way, connection, idle_limit(&response.headers));
+        }
+        outcome
+    }
+
+    /// Keeps the connection once the target has read the whole request too.
+    fn keep_when_ready(
+        self: &std::rc::Rc<Self>,
+        way: &Way<'_>,
+        mut connection: Connection,
+        limit: Duration,
+    ) {
+        if way.alone {
+            return;
+        }
+        let client = self.clone();
+        let address = way.address;
+        tokio::task::spawn_local(async move {
+            let ready = tokio::time::timeout(READY_WAIT, connection.sender.ready()).await;
+            if matches!(ready, Ok(Ok(()))) {
+                client.keep(address, connection, limit);
+            }
+        });
+    }
+}
+
+async fn open(way: &Way<'_>) -> Option<Connection> {
+    let until = way.deadline.min(Instant::now() + way.connect_timeout);
+    let opened = tokio::time::timeout_at(until, Connection::open(way.address)).await;
+    opened.ok()?.ok()
+}
+
+/// A request that comes back with the error was not sent at all.
+fn failed_send(mut failed: TrySendError<Request<Full<Bytes>>>) -> Outcome {
+    match failed.take_message() {
+        Some(_) => not_run(NotRun::Unsent),
+        None => Outcome::Broken(Broken::Lost),
+    }
+}
+
+fn not_run(why: NotRun) -> Outcome {
+    Outcome::NotRun {
+        why,
+        report: None,
+        retry_after: None,
+    }
+}
+
+fn request(names: &Names, outgoing: &Outgoing, way: &Way<'_>) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(outgoing.body.clone()));
+    *request.method_mut() = outgoing.method.clone();
+    *request.uri_mut() = outgoing.uri.clone();
+    *request.headers_mut() = outgoing.headers.clone();
+    let left = way.deadline.saturating_duration_since(Instant::now());
+    let left = HeaderValue::from(u64::try_from(left.as_millis()).unwrap_or(u64::MAX));
+    request
+        .headers_mut()
+        .insert(names.deadline_ms.clone(), left);
+    if let Ok(id) = HeaderValue::from_str(way.target) {
+        request
+            .headers_mut()
+            .insert(names.expect_target.clone(), id);
+    }
+    request
+}
+
+async fn collect(body: Incoming) -> Result<Bytes, Broken> {
+    let whole = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+    match whole {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(Broken::TooLong),
+        Err(_) => Err(Broken::Cut),
+    }
+}
+
+fn judge(
+    names: &Names,
+    outgoing: &Outgoing,
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Outcome {
+    let report = headers.get(&names.load).and_then(read_load);
+    let echoed = headers.get(&names.request_id);
+    if echoed.is_some_and(|echoed| *echoed != outgoing.id) {
+        return Outcome::Broken(Broken::Foreign);
+    }
+    let stated = headers.contains_key(&names.not_run);
+    if status == StatusCode::MISDIRECTED_REQUEST || stated {
+        let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+        return Outcome::NotRun {
+            why: if misdirected {
+                NotRun::Misdirected
+            } else {
+                NotRun::Shed
+            },
+            report,
+            retry_after: headers.get(RETRY_AFTER).and_then(read_seconds),
+        };
+    }
+    if echoed.is_none() {
+        return Outcome::Broken(Broken::Foreign);
+    }
+    if status.is_success() && !headers.contains_key(&names.signature) {
+        return Outcome::Broken(Broken::Unsigned);
+    }
+    Outcome::Answered(Box::new(Response {
+        status,
+        headers,
+        body,
+        report,
+    }))
+}
+
+fn read_load(value: &HeaderValue) -> Option<Report> {
+    let mut parts = value
+        .to_str()
+        .ok()?
+        .split(',')
+        .map(|part| part.trim().parse());
+    let mut next = || parts.next()?.ok();
+    Some(Report {
+        running: next()?,
+        waiting: next()?,
+        slots: next()?,
+    })
+}
+
+fn read_seconds(value: &HeaderValue) -> Option<Duration> {
+    let seconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
+/// How long the connection may be idle, by the target's `Keep-Alive` header.
+fn idle_limit(headers: &HeaderMap) -> Duration {
+    let value = headers.get("keep-alive").and_then(|v| v.to_str().ok());
+    let stated = value.and_then(|value| {
+        let mut parts = value.split(',').map(str::trim);
+        parts.find_map(|part| part.strip_prefix("timeout=")?.parse().ok())
+    });
+    stated.map_or(DEFAULT_IDLE, |s| {
+        Duration::from_secs(s).saturating_sub(IDLE_MARGIN)
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/front/mod.rs
@@ -0,0 +1,13 @@
+//! Serves callers.
+
+mod answer;
+mod body;
+mod parse;
+mod serve;
+mod server;
+mod transit;
+
+pub use answer::Answer;
+pub(crate) use answer::plain;
+pub(crate) use serve::serve;
+pub use server::{Server, serve_http};
--- /dev/null
+++ b/crates/gateway/src/front/serve.rs
@@ -0,0 +1,146 @@
+//! A request from its head to its answer.
+
+use {
+    super::{
+        answer::{Answer, plain, refusal},
+        body::{self, BodyError, Held},
+        parse::{Head, ParseError, strip},
+        transit,
+    },
+    crate::{Node, exchange::Outgoing, node::Work},
+    hyper::{Request, StatusCode, body::Incoming, http::request},
+    route::Route,
+    std::{rc::Rc, sync::Arc, time::Duration},
+    xxhash_rust::xxh3::Xxh3,
+};
+
+/// A VM without routes asks callers to come back after this time.
+const UNINFORMED_RETRY: Duration = Duration::from_millis(500);
+/// A VM that stops takes no new work after this time.
+const LEAVING_WORK: Duration = Duration::from_millis(2900);
+const LEAVING_RETRY: Duration = Duration::from_millis(50);
+const MEMORY_RETRY: Duration = Duration::from_secs(1);
+
+/// Counts requests that are being served.
+struct Busy(Rc<Node>);
+
+impl Busy {
+    fn new(node: &Rc<Node>) -> Self {
+        node.in_flight.set(node.in_flight.get() + 1);
+        Self(node.clone())
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+    }
+}
+
+/// Serves one request of a caller.
+pub(crate) async fn serve(node: Rc<Node>, request: Request<Incoming>) -> Answer {
+    let busy = Busy::new(&node);
+    let arrived = node.now();
+    let (parts, body) = request.into_parts();
+    let (head, route) = match admit(&node, &parts) {
+        Ok(admitted) => admitted,
+        Err(answer) => return answer,
+    };
+    let longest = head.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let deadline = arrived + longest;
+    let most = node.table().limits().body_bytes;
+    let held = match body::read(&node, body, most, deadline).await {
+        Ok(held) => held,
+        Err(error) => return body_failed(&head, error),
+    };
+    let work = Work {
+        id: head.id.to_str().unwrap_or_default().to_owned(),
+        service: node.pick_service(&route),
+        object: head.object.clone().filter(|_| route.affinity),
+        route,
+        arrived,
+        deadline,
+        tried: Vec::new(),
+    };
+    let fingerprint = fingerprint(&work, &parts, &held);
+    let outgoing = outgoing(&head, parts, &held);
+    if work.is_idempotent() {
+        return transit::run(&node, work, &outgoing, &fingerprint).await;
+    }
+    // Work that may not be repeated is seen through, also when the caller has left.
+    let running = tokio::task::spawn_local(async move {
+        let answer = transit::run(&node, work, &outgoing, &fingerprint).await;
+        drop((busy, held));
+        answer
+    });
+    running.await.unwrap_or_else(|error| {
+        log::error!(event = "task_failed", reason:% = error; "request ended without an answer");
+        plain(StatusCode::INTERNAL_SERVER_ERROR, "internal error")
+    })
+}
+
+/// Decides what needs no body: whether the request can be read and has a route.
+fn admit(node: &Rc<Node>, parts: &request::Parts) -> Result<(Head, Arc<Route>), Answer> {
+    let head = Head::read(&node.names, parts).map_err(|error| {
+        log::info!(event = "request_refused", status = 400, reason:% = error; "request cannot be read");
+        malformed(error)
+    })?;
+    let id = head.id.to_str().unwrap_or_default();
+    if !node.is_informed() {
+        log::info!(event = "request_refused", request = id, status = 503, reason = "uninformed"; "no routes or targets yet");
+        return Err(refusal("no routes yet", UNINFORMED_RETRY));
+    }
+    let leaving = node.leaving_since();
+    if leaving.is_some_and(|since| node.now().saturating_sub(since) > LEAVING_WORK) {
+        log::info!(event = "request_refused", request = id, status = 503, reason = "leaving"; "this VM stops");
+        return Err(refusal("stopping", LEAVING_RETRY));
+    }
+    let table = node.table();
+    let Some(route) = table.find(&head.host, parts.uri.path()) else {
+        log::info!(event = "request_refused", request = id, status = 404, reason = "no route", host = head.host.as_str(), version = table.version(); "no route");
+        return Err(plain(StatusCode::NOT_FOUND, "no route"));
+    };
+    Ok((head, route.clone()))
+}
+
+fn malformed(error: ParseError) -> Answer {
+    let reason = match error {
+        ParseError::Host => "host is missing or repeated",
+        ParseError::Id => "request identifier is missing or repeated",
+        ParseError::Deadline => "deadline is not a number of milliseconds",
+    };
+    plain(StatusCode::BAD_REQUEST, reason)
+}
+
+fn body_failed(head: &Head, error: BodyError) -> Answer {
+    let id = head.id.to_str().unwrap_or_default();
+    log::info!(event = "request_refused", request = id, reason:% = error; "body not read");
+    match error {
+        BodyError::TooLong => plain(StatusCode::PAYLOAD_TOO_LARGE, "body too large"),
+        BodyError::TimedOut => plain(StatusCode::REQUEST_TIMEOUT, "body too late"),
+        BodyError::Broken => plain(StatusCode::BAD_REQUEST, "body ended early"),
+        BodyError::NoMemory => refusal("no memory for bodies", MEMORY_RETRY),
+    }
+}
+
+fn outgoing(head: &Head, parts: request::Parts, held: &Held) -> Outgoing {
+    let mut headers = parts.headers;
+    strip(&mut headers);
+    Outgoing {
+        method: parts.method,
+        uri: parts.uri,
+        headers,
+        body: held.bytes.clone(),
+        id: head.id.clone(),
+    }
+}
+
+/// Hash by which a request that crashes targets is known again under another identifier.
+fn fingerprint(work: &Work, parts: &request::Parts, held: &Held) -> String {
+    let mut hash = Xxh3::new();
+    hash.update(work.route.name.as_bytes());
+    hash.update(parts.method.as_str().as_bytes());
+    hash.update(parts.uri.to_string().as_bytes());
+    hash.update(&held.bytes);
+    format!("{:016x}", hash.digest())
+}
--- /dev/null
+++ b/crates/gateway/src/front/server.rs
@@ -0,0 +1,127 @@
+//! Accepts connections and serves HTTP on them.
+
+use {
+    super::Answer,
+    crate::{GatewayError, exchange::tune},
+    hyper::{Request, body::Incoming, server::conn::http1, service::service_fn},
+    hyper_util::rt::{TokioIo, TokioTimer},
+    std::{
+        cell::Cell, convert::Infallible, future::Future, net::SocketAddr, rc::Rc, time::Duration,
+    },
+    tokio::{
+        net::{TcpListener, TcpSocket, TcpStream},
+        sync::watch,
+    },
+};
+
+const BACKLOG: u32 = 1024;
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// How connections are served.
+#[derive(Clone)]
+pub struct Server {
+    /// Where to listen.
+    pub address: SocketAddr,
+    /// Longest time between two requests of a connection.
+    pub idle: Duration,
+    /// Most bytes of a request's head.
+    pub header_bytes: usize,
+    /// Most connections at a time.
+    pub connections: usize,
+    /// Holds the time of the stop once there is one; answers then close their connection.
+    pub leaving: watch::Receiver<Option<Duration>>,
+}
+
+/// Serves connections until the process ends.
+///
+/// # Errors
+/// [`GatewayError::Listen`] when the address is taken.
+pub fn serve_http<F, A>(server: Server, handler: F) -> Result<(), GatewayError>
+where
+    F: Fn(Request<Incoming>) -> A + Clone + 'static,
+    A: Future<Output = Answer> + 'static,
+{
+    let listener = listen(server.address).map_err(|source| GatewayError::Listen {
+        address: server.address,
+        source,
+    })?;
+    tokio::task::spawn_local(accept(server, listener, handler));
+    Ok(())
+}
+
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+struct Open(Rc<Cell<usize>>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+async fn accept<F, A>(server: Server, listener: TcpListener, handler: F)
+where
+    F: Fn(Request<Incoming>) -> A + Clone + 'static,
+    A: Future<Output = Answer> + 'static,
+{
+    let open = Rc::new(Cell::new(0));
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(event = "accept_failed", reason:% = error; "connection not accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        if open.get() >= server.connections {
+            log::warn!(event = "connection_refused", open = open.get(); "too many connections");
+            continue;
+        }
+        open.set(open.get() + 1);
+        let counted = Open(open.clone());
+        let served = connection(server.clone(), stream, handler.clone());
+        tokio::task::spawn_local(async move {
+            served.await;
+            drop(counted);
+        });
+    }
+}
+
+async fn connection<F, A>(mut server: Server, stream: TcpStream, handler: F)
+where
+    F: Fn(Request<Incoming>) -> A + Clone + 'static,
+    A: Future<Output = Answer> + 'static,
+{
+    if let Err(error) = tune(&stream) {
+        log::debug!(event = "connection_ended", reason:% = error; "connection ended");
+        return;
+    }
+    let service = service_fn(move |request| {
+        let answer = handler(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let leaving = server.leaving.borrow().is_some();
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(server.idle)
+        .max_buf_size(server.header_bytes.max(8192))
+        .keep_alive(!leaving)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        _ = server.leaving.changed(), if !leaving => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        log::debug!(event = "connection_ended", reason:% = error; "connection ended");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front/transit.rs
@@ -0,0 +1,200 @@
+//! Sends a request to targets until there is an answer, or none can be had.
+
+use {
+    super::answer::{Answer, plain, refusal},
+    crate::{
+        Node,
+        exchange::{Broken, NotRun, Outcome, Outgoing, Response, Way},
+        node::{Choice, Work},
+    },
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::{StatusCode, header::CONTENT_LENGTH},
+    std::{rc::Rc, time::Duration},
+};
+
+/// Longest wait for a connection; a target that has lost its power says nothing.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Requests with less time left are not sent: no target could answer.
+const MIN_LEFT: Duration = Duration::from_millis(5);
+
+/// What is known at the end of a request that no target answered.
+enum Failure {
+    /// No target ran it.
+    NotRun {
+        reason: &'static str,
+        after: Duration,
+    },
+    /// It may have run.
+    Doubt(&'static str),
+    /// The time was up; it may have run.
+    TimedOut,
+}
+
+/// Runs a request and logs how it ended.
+pub(crate) async fn run(
+    node: &Rc<Node>,
+    mut work: Work,
+    outgoing: &Outgoing,
+    fingerprint: &str,
+) -> Answer {
+    let blocked = node.quarantine.borrow().blocked(fingerprint, node.now());
+    let result = match blocked {
+        Some(after) => Err(Failure::NotRun {
+            reason: "quarantined",
+            after,
+        }),
+        None => attempts(node, &mut work, outgoing, fingerprint).await,
+    };
+    finish(node, &work, result)
+}
+
+async fn attempts(
+    node: &Rc<Node>,
+    work: &mut Work,
+    outgoing: &Outgoing,
+    fingerprint: &str,
+) -> Result<Response, Failure> {
+    let mut doubt: Option<&'static str> = None;
+    let mut arrived = 0;
+    loop {
+        if work.deadline.saturating_sub(node.now()) < MIN_LEFT {
+            return Err(if doubt.is_some() {
+                Failure::TimedOut
+            } else {
+                late()
+            });
+        }
+        let choice = match node.choose(work) {
+            Ok(choice) => choice,
+            Err(after) => return Err(no_target(doubt, after)),
+        };
+        if arrived == 0 && work.tried.is_empty() {
+            node.note_first(&work.service);
+        } else if arrived > 0 && !node.withdraw_retry(&work.service) {
+            return Err(no_target(doubt, work.route.objective));
+        }
+        let target = choice.sent.target.clone();
+        work.tried.push(target.clone());
+        let outcome = exchange(node, work, outgoing, &choice).await;
+        learn(node, work, &choice, &outcome, fingerprint);
+        drop(choice);
+        match outcome {
+            Outcome::Answered(response) => return Ok(*response),
+            Outcome::TimedOut => return Err(Failure::TimedOut),
+            Outcome::NotRun { why, .. } => arrived += u32::from(why.arrived()),
+            Outcome::Broken(_) if !work.is_idempotent() => return Err(Failure::Doubt("broken")),
+            Outcome::Broken(_) => {
+                arrived += 1;
+                doubt = Some("broken");
+            }
+        }
+        if arrived >= work.route.max_attempts {
+            return Err(no_target(doubt, work.route.objective));
+        }
+    }
+}
+
+async fn exchange(node: &Rc<Node>, work: &Work, outgoing: &Outgoing, choice: &Choice) -> Outcome {
+    let way = Way {
+        target: &choice.sent.target,
+        address: choice.address,
+        deadline: node.clock.at(work.deadline),
+        connect_timeout: CONNECT_TIMEOUT,
+        alone: !work.is_idempotent(),
+    };
+    node.client.send(&node.names, outgoing, &way).await
+}
+
+fn late() -> Failure {
+    Failure::NotRun {
+        reason: "no time left",
+        after: Duration::ZERO,
+    }
+}
+
+fn no_target(doubt: Option<&'static str>, after: Duration) -> Failure {
+    match doubt {
+        Some(reason) => Failure::Doubt(reason),
+        None => Failure::NotRun {
+            reason: "no target with room",
+            after,
+        },
+    }
+}
+
+/// Takes what an exchange tells of the target and the request.
+fn learn(node: &Rc<Node>, work: &Work, choice: &Choice, outcome: &Outcome, fingerprint: &str) {
+    let now = node.now();
+    let sent = &choice.sent;
+    let took_ms = u64::try_from((now - sent.at).as_millis()).unwrap_or(u64::MAX);
+    log::info!(event = "exchange", request = work.id.as_str(), target = sent.target.as_str(), outcome = outcome.word(), warm = sent.warm, took_ms = took_ms; "exchange ended");
+    metrics::counter!("cicadalift_exchanges_total", "outcome" => outcome.word()).increment(1);
+    match outcome {
+        Outcome::Answered(response) => {
+            node.board.borrow_mut().answered(sent, response.report, now);
+            node.quarantine.borrow_mut().succeed(fingerprint);
+        }
+        Outcome::NotRun {
+            why: NotRun::Shed,
+            report,
+            ..
+        } => {
+            node.board
+                .borrow_mut()
+                .turned_away(&sent.target, *report, now);
+        }
+        Outcome::NotRun {
+            why: NotRun::Unsent,
+            ..
+        }
+        | Outcome::TimedOut => {}
+        Outcome::NotRun { .. } => fail(node, work, choice, now),
+        Outcome::Broken(Broken::Lost) => {
+            fail(node, work, choice, now);
+            crate::peers::suspect_crash(node, choice.address, fingerprint);
+        }
+        Outcome::Broken(_) => {
+            node.board.borrow_mut().turned_away(&sent.target, None, now);
+        }
+    }
+}
+
+fn fail(node: &Rc<Node>, work: &Work, choice: &Choice, now: Duration) {
+    let may_eject = node.may_eject(&work.service);
+    let target = &choice.sent.target;
+    node.client.forget(choice.address);
+    if node.board.borrow_mut().failed(target, may_eject, now) {
+        log::warn!(event = "target_ejected", target = target.as_str(), request = work.id.as_str(); "target is not used for a while");
+    }
+}
+
+fn finish(node: &Rc<Node>, work: &Work, result: Result<Response, Failure>) -> Answer {
+    let took = node.now().saturating_sub(work.arrived);
+    let (answer, outcome) = match result {
+        Ok(response) => (deliver(response), "answered"),
+        Err(Failure::NotRun { reason, after }) => (refusal(reason, after), reason),
+        Err(Failure::Doubt(reason)) => (plain(StatusCode::BAD_GATEWAY, "no whole answer"), reason),
+        Err(Failure::TimedOut) => (
+            plain(StatusCode::GATEWAY_TIMEOUT, "time is up"),
+            "timed out",
+        ),
+    };
+    let took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+    let status = answer.status().as_u16();
+    log::info!(event = "request_ended", request = work.id.as_str(), route = work.route.name.as_str(), service = work.service.as_str(), status = status, outcome = outcome, targets = work.tried.len(), version = node.table().version(), took_ms = took_ms; "request ended");
+    metrics::counter!("cicadalift_requests_total", "outcome" => outcome).increment(1);
+    metrics::histogram!("cicadalift_request_seconds").record(took.as_secs_f64());
+    answer
+}
+
+/// A target's answer as the caller gets it.
+fn deliver(response: Response) -> Answer {
+    let mut headers = response.headers;
+    super::parse::strip(&mut headers);
+    headers.remove(CONTENT_LENGTH);
+    let mut answer = Answer::new(Full::<Bytes>::new(response.body));
+    *answer.status_mut() = response.status;
+    *answer.headers_mut() = headers;
+    answer
+}
--- /dev/null
+++ b/crates/gateway/src/launch.rs
@@ -0,0 +1,151 @@
+//! Starts the process and stops it.
+
+use {
+    crate::{
+        GatewayError, Names, Node, Server, Settings, Store,
+        exchange::Client,
+        front, metrics,
+        peers::{self, Socket},
+        serve_http, store,
+    },
+    std::{rc::Rc, time::Duration},
+    tokio::signal::unix::{SignalKind, signal},
+};
+
+const SWEEP: Duration = Duration::from_millis(500);
+const STOP_POLL: Duration = Duration::from_millis(20);
+/// Time for which a VM that stops goes on, so that callers find others.
+const LEAVE_FOR: Duration = Duration::from_secs(3);
+/// The process ends this much before it would be killed.
+const GRACE_MARGIN: Duration = Duration::from_millis(200);
+const IDLE: Duration = Duration::from_secs(15);
+const HEADER_BYTES: usize = 16 * 1024;
+/// Part of the descriptors that callers' connections may take.
+const CALLER_PART: (usize, usize) = (3, 5);
+const INNER_CONNECTIONS: usize = 128;
+
+/// What an adapter puts together.
+pub struct Parts {
+    /// What the VM was told.
+    pub settings: Settings,
+    /// Header names.
+    pub names: Names,
+    /// Calls of the store.
+    pub store: Store,
+    /// Connections, shared with the store's calls.
+    pub client: Rc<Client>,
+}
+
+/// Runs until told to stop. `more` starts what the adapter serves itself.
+///
+/// # Errors
+/// A [`GatewayError`] when an address is taken or a signal cannot be received.
+pub async fn run(
+    parts: Parts,
+    more: impl FnOnce(&Rc<Node>) -> Result<(), GatewayError>,
+) -> Result<(), GatewayError> {
+    let collected = metrics::start()?;
+    let node = Node::new(parts.settings, parts.names, parts.store, parts.client);
+    let node = Rc::new(node);
+    let address = node.settings.peers;
+    let socket = Socket::open(address).await;
+    let socket = socket.map_err(|source| GatewayError::Listen { address, source })?;
+    let socket = Rc::new(socket);
+    node.set_socket(socket.clone());
+    log::info!(event = "started", vm = node.settings.name.as_str(), zone = node.settings.zone.as_str(), callers:% = node.settings.callers; "started");
+
+    listen(&node, &collected)?;
+    more(&node)?;
+    tokio::task::spawn_local(peers::receive_loop(node.clone(), socket.clone()));
+    tokio::task::spawn_local(peers::probe_loop(node.clone(), socket.clone()));
+    tokio::task::spawn_local(peers::load_loop(node.clone(), socket));
+    tokio::task::spawn_local(store::register(node.clone()));
+    tokio::task::spawn_local(store::pull_loop(node.clone()));
+    for table in node.store.tables.clone() {
+        tokio::task::spawn_local(store::follow(node.clone(), table));
+    }
+    tokio::task::spawn_local(sweep(node.clone()));
+
+    stop_signal().await?;
+    leave(&node).await;
+    log::info!(event = "stopped", vm = node.settings.name.as_str(), in_flight = node.in_flight.get(); "stopped");
+    Ok(())
+}
+
+fn listen(
+    node: &Rc<Node>,
+    collected: &metrics_exporter_prometheus::PrometheusHandle,
+) -> Result<(), GatewayError> {
+    let callers = node.settings.max_descriptors * CALLER_PART.0 / CALLER_PART.1;
+    let shared = node.clone();
+    let server = node.server(node.settings.callers, callers);
+    serve_http(server, move |request| front::serve(shared.clone(), request))?;
+    let shared = node.clone();
+    let server = node.server(node.settings.peers, INNER_CONNECTIONS);
+    serve_http(server, move |request| {
+        std::future::ready(peers::records(&shared, &request))
+    })?;
+    let shared = node.clone();
+    let handle = collected.clone();
+    let server = node.server(node.settings.metrics, INNER_CONNECTIONS);
+    let served = serve_http(server, move |request| {
+        std::future::ready(metrics::answer(&shared, &handle, &request))
+    });
+    if let Err(error) = served {
+        log::warn!(event = "metrics_unavailable", reason:% = error; "callers are served without metrics");
+    }
+    Ok(())
+}
+
+impl Node {
+    /// How connections at an address are served.
+    #[must_use]
+    pub fn server(&self, address: std::net::SocketAddr, connections: usize) -> Server {
+        Server {
+            address,
+            idle: IDLE,
+            header_bytes: HEADER_BYTES,
+            connections,
+            leaving: self.watch_leaving(),
+        }
+    }
+}
+
+/// Lets go of what is no longer used.
+async fn sweep(node: Rc<Node>) {
+    loop {
+        tokio::time::sleep(SWEEP).await;
+        node.client.sweep();
+        let expired = node.catalog.borrow_mut().expire(node.now());
+        for id in expired {
+            log::info!(event = "target_gone", target = id.as_str(), reason = "lapsed"; "target did not come back");
+        }
+    }
+}
+
+async fn stop_signal() -> Result<(), GatewayError> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(GatewayError::Signal)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(GatewayError::Signal)?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+/// Tells the others, then waits for the requests in flight as long as the grace lasts.
+async fn leave(node: &Rc<Node>) {
+    node.leave();
+    peers::broadcast(node);
+    log::info!(event = "leaving", vm = node.settings.name.as_str(), in_flight = node.in_flight.get(); "leaving");
+    let since = node.now();
+    let end = since + node.settings.bounds.grace.saturating_sub(GRACE_MARGIN);
+    loop {
+        tokio::time::sleep(STOP_POLL).await;
+        let now = node.now();
+        let idle = node.in_flight.get() == 0 && now - since >= LEAVE_FOR;
+        if idle || now >= end {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,29 @@
+//! The process of a VM whose routes, targets and peers come from the platform's store.
+//!
+//! It serves callers, sends their requests to targets, and learns from the store and
+//! from other VMs. How the platform names and writes things is left to an adapter,
+//! which fills in [`Settings`], [`Names`] and [`Store`]. See `docs/PLATFORM.md`.
+
+mod clock;
+mod errors;
+mod exchange;
+mod front;
+mod launch;
+mod logs;
+mod metrics;
+mod names;
+mod node;
+mod peers;
+mod settings;
+mod store;
+
+pub use clock::Clock;
+pub use errors::{GatewayError, StoreError};
+pub use exchange::Client;
+pub use front::{Answer, Server, serve_http};
+pub use launch::{Parts, run};
+pub use logs::start as start_log;
+pub use names::Names;
+pub use node::Node;
+pub use settings::{Bounds, Settings};
+pub use store::{Change, Listed, Page, Store};
--- /dev/null
+++ b/crates/gateway/src/node/state.rs
@@ -0,0 +1,245 @@
+//! The parts of a node.
+
+use {
+    crate::{Clock, Listed, Names, Settings, Store, StoreError, exchange::Client},
+    balance::{Board, Retries},
+    catalog::{Catalog, Records},
+    member::{Timing, View},
+    route::{Split, Table},
+    std::{
+        cell::{Cell, RefCell, RefMut},
+        rc::Rc,
+        time::Duration,
+    },
+    steer::Quarantine,
+    tokio::sync::watch,
+    wire::{Map, Member, Status},
+};
+
+/// A suspected VM is given up after this time.
+const GONE_AFTER: Duration = Duration::from_millis(1500);
+const FORGET_AFTER: Duration = Duration::from_mins(2);
+
+/// One VM.
+pub struct Node {
+    /// What it was told at its start; replaced whole when the settings change.
+    pub settings: Settings,
+    /// Header names.
+    pub names: Names,
+    /// Calls of the platform's store.
+    pub store: Store,
+    /// Connections to other processes.
+    pub client: Rc<Client>,
+    pub(crate) clock: Clock,
+    pub(crate) table: RefCell<Rc<Table>>,
+    pub(crate) splits: RefCell<Map<String, Split>>,
+    pub(crate) catalog: RefCell<Catalog>,
+    pub(crate) board: RefCell<Board>,
+    pub(crate) retries: RefCell<Map<String, Retries>>,
+    pub(crate) quarantine: RefCell<Quarantine>,
+    pub(crate) crashes: RefCell<Vec<(wire::Crash, u32)>>,
+    pub(crate) peer_loads: RefCell<Map<String, crate::peers::PeerLoad>>,
+    pub(crate) in_flight: Cell<usize>,
+    pub(crate) buffered: Cell<usize>,
+    view: RefCell<View>,
+    records: RefCell<Records>,
+    feeds: RefCell<Map<String, Feed>>,
+    list_read: Cell<bool>,
+    leaving: watch::Sender<Option<Duration>>,
+    socket: RefCell<Option<Rc<crate::peers::Socket>>>,
+}
+
+/// What is known of the store by following one table.
+#[derive(Debug, Clone, Copy, Default)]
+struct Feed {
+    read: bool,
+    failing_since: Option<Duration>,
+    recovered_at: Option<Duration>,
+}
+
+impl Node {
+    /// Starts with nothing known.
+    #[must_use]
+    pub fn new(settings: Settings, names: Names, store: Store, client: Rc<Client>) -> Self {
+        let timing = Timing {
+            gone_after: GONE_AFTER,
+            forget_after: FORGET_AFTER,
+        };
+        let view = View::new(me(&settings), timing);
+        Self {
+            settings,
+            names,
+            store,
+            client,
+            clock: Clock::start(),
+            table: RefCell::default(),
+            splits: RefCell::default(),
+            catalog: RefCell::default(),
+            board: RefCell::default(),
+            retries: RefCell::default(),
+            quarantine: RefCell::default(),
+            crashes: RefCell::default(),
+            peer_loads: RefCell::default(),
+            in_flight: Cell::new(0),
+            buffered: Cell::new(0),
+            view: RefCell::new(view),
+            records: RefCell::default(),
+            feeds: RefCell::default(),
+            list_read: Cell::new(false),
+            leaving: watch::Sender::new(None),
+            socket: RefCell::default(),
+        }
+    }
+
+    /// Time since the start of the process.
+    #[must_use]
+    pub fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    /// The other VMs.
+    pub(crate) fn view(&self) -> RefMut<'_, View> {
+        self.view.borrow_mut()
+    }
+
+    /// The store's rows.
+    pub(crate) fn records(&self) -> RefMut<'_, Records> {
+        self.records.borrow_mut()
+    }
+
+    /// The routes in force.
+    pub(crate) fn table(&self) -> Rc<Table> {
+        self.table.borrow().clone()
+    }
+
+    /// This VM as it registers itself.
+    pub(crate) fn listed(&self) -> Listed {
+        Listed {
+            name: self.settings.name.clone(),
+            zone: self.settings.zone.clone(),
+            peers: self.settings.peers,
+            callers: self.settings.callers,
+        }
+    }
+
+    /// Adds a VM from the list; it is doubted until it is heard.
+    pub(crate) fn introduce(&self, vm: &Listed) {
+        let member = Member {
+            name: vm.name.clone(),
+            zone: vm.zone.clone(),
+            peer: vm.peers.to_string(),
+            caller: vm.callers.to_string(),
+            boot_ms: 0,
+            beat: 0,
+            status: Status::Suspect,
+            control: 0,
+        };
+        self.view().introduce(&member, self.now());
+    }
+
+    /// Notes that the list of VMs was read.
+    pub(crate) fn list_read(&self) {
+        self.list_read.set(true);
+    }
+
+    /// Notes that a table was read whole.
+    pub(crate) fn table_read(&self, table: &str) {
+        let mut feeds = self.feeds.borrow_mut();
+        feeds.entry(table.to_owned()).or_default().read = true;
+    }
+
+    /// Notes that the store answered.
+    pub(crate) fn store_answered(&self, table: &str) {
+        let now = self.now();
+        let mut feeds = self.feeds.borrow_mut();
+        let feed = feeds.entry(table.to_owned()).or_default();
+        if let Some(since) = feed.failing_since.take() {
+            feed.recovered_at = Some(now);
+            let away_ms = millis(now.saturating_sub(since));
+            log::info!(event = "dependency_regained", dependency = "store", table = table, away_ms = away_ms; "the store answers again");
+        }
+    }
+
+    /// Notes that the store did not answer.
+    pub(crate) fn store_failed(&self, table: &str, error: &StoreError) {
+        let now = self.now();
+        let mut feeds = self.feeds.borrow_mut();
+        let feed = feeds.entry(table.to_owned()).or_default();
+        if feed.failing_since.is_none() {
+            feed.failing_since = Some(now);
+            log::warn!(event = "dependency_lost", dependency = "store", table = table, reason:% = error; "the store does not answer");
+        }
+    }
+
+    /// Whether the store answers this VM.
+    pub(crate) fn store_is_well(&self) -> bool {
+        let feeds = self.feeds.borrow();
+        feeds.values().all(|feed| feed.failing_since.is_none())
+    }
+
+    /// Whether the store was away until just now, or still is.
+    pub(crate) fn store_was_away(&self, within: Duration) -> bool {
+        let now = self.now();
+        let feeds = self.feeds.borrow();
+        feeds.values().any(|feed| {
+            let lately = |at: Duration| now.saturating_sub(at) < within;
+            feed.failing_since.is_some() || feed.recovered_at.is_some_and(lately)
+        })
+    }
+
+    /// Whether this VM can serve: it knows routes and targets.
+    #[must_use]
+    pub fn is_informed(&self) -> bool {
+        self.table().version() > 0 && !self.catalog.borrow().is_empty()
+    }
+
+    /// Whether this VM takes new callers.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.is_informed() && self.leaving_since().is_none()
+    }
+
+    /// When this VM was told to stop.
+    #[must_use]
+    pub fn leaving_since(&self) -> Option<Duration> {
+        *self.leaving.borrow()
+    }
+
+    /// Follows the beginning of the stop.
+    pub(crate) fn watch_leaving(&self) -> watch::Receiver<Option<Duration>> {
+        self.leaving.subscribe()
+    }
+
+    /// Socket for datagrams, once it is open.
+    pub(crate) fn socket(&self) -> Option<Rc<crate::peers::Socket>> {
+        self.socket.borrow().clone()
+    }
+
+    pub(crate) fn set_socket(&self, socket: Rc<crate::peers::Socket>) {
+        *self.socket.borrow_mut() = Some(socket);
+    }
+
+    /// Begins to stop.
+    pub(crate) fn leave(&self) {
+        self.leaving.send_replace(Some(self.now()));
+        self.view().leave();
+    }
+}
+
+fn me(settings: &Settings) -> Member {
+    Member {
+        name: settings.name.clone(),
+        zone: settings.zone.clone(),
+        peer: settings.peers.to_string(),
+        caller: settings.callers.to_string(),
+        boot_ms: Clock::epoch_ms(),
+        beat: 0,
+        status: Status::Alive,
+        control: 0,
+    }
+}
+
+/// Whole milliseconds, for logs.
+pub(crate) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/gateway/src/peers/prober.rs
@@ -0,0 +1,118 @@
+//! Finds out which VMs are there.
+
+use {
+    super::socket::{Socket, address, datagram},
+    crate::Node,
+    std::{net::SocketAddr, rc::Rc, time::Duration},
+    wire::{Datagram, Member, Signal, Status},
+};
+
+const PERIOD: Duration = Duration::from_millis(500);
+/// Longest wait for the answer to a probe.
+const ANSWER: Duration = Duration::from_millis(250);
+/// Longest wait for the answer through helpers.
+const HELPED_ANSWER: Duration = Duration::from_millis(500);
+const HELPERS: usize = 2;
+/// A period that lasted longer shows that this process stood still.
+const PAUSED: Duration = Duration::from_millis(1500);
+
+/// Probes one VM after the other until the process ends.
+pub(crate) async fn probe_loop(node: Rc<Node>, socket: Rc<Socket>) {
+    let mut last = node.now();
+    loop {
+        tokio::time::sleep(PERIOD).await;
+        let now = node.now();
+        if now - last > PAUSED {
+            log::warn!(event = "paused", for_ms = crate::node::millis(now - last); "this process stood still");
+            node.view().resume(now);
+        }
+        last = now;
+        node.view().tick(now);
+        let next = node.view().next_probe();
+        if let Some(member) = next {
+            tokio::task::spawn_local(probe(node.clone(), socket.clone(), member));
+        }
+    }
+}
+
+async fn probe(node: Rc<Node>, socket: Rc<Socket>, member: Member) {
+    let Some(to) = address(&member) else {
+        return;
+    };
+    if ping(&node, &socket, to, ANSWER).await {
+        return;
+    }
+    if ask_helpers(&node, &socket, &member).await {
+        return;
+    }
+    let now = node.now();
+    let mut view = node.view();
+    if view.is_alive(&member.name) {
+        log::warn!(event = "member_doubted", vm = member.name.as_str(); "VM does not answer");
+    }
+    view.fail(&member.name, now);
+}
+
+async fn ping(node: &Rc<Node>, socket: &Rc<Socket>, to: SocketAddr, wait: Duration) -> bool {
+    let number = socket.next_number();
+    let answer = socket.expect(number);
+    let message = datagram(node, Signal::Ping, number, "");
+    socket.send(to, &message).await;
+    let answered = tokio::time::timeout(wait, answer).await.is_ok();
+    socket.give_up(number);
+    answered
+}
+
+async fn ask_helpers(node: &Rc<Node>, socket: &Rc<Socket>, member: &Member) -> bool {
+    let helpers: Vec<SocketAddr> = {
+        let view = node.view();
+        let peers = view.peers().into_iter();
+        let fit = peers.filter(|m| m.status == Status::Alive && m.name != member.name);
+        fit.filter_map(address).take(HELPERS).collect()
+    };
+    let number = socket.next_number();
+    let answer = socket.expect(number);
+    for helper in helpers {
+        let message = datagram(node, Signal::Ask, number, &member.name);
+        socket.send(helper, &message).await;
+    }
+    let answered = tokio::time::timeout(HELPED_ANSWER, answer).await.is_ok();
+    socket.give_up(number);
+    answered
+}
+
+/// Probes a VM for another one.
+pub(crate) async fn help(node: Rc<Node>, socket: Rc<Socket>, asked: Datagram, from: SocketAddr) {
+    let about = {
+        let view = node.view();
+        let found = view.all().into_iter().find(|m| m.name == asked.about);
+        found.and_then(address)
+    };
+    let Some(about) = about else {
+        return;
+    };
+    if ping(&node, &socket, about, ANSWER).await {
+        let answer = datagram(&node, Signal::Ack, asked.number, "");
+        socket.send(from, &answer).await;
+    }
+}
+
+/// Tells a VM of this one without waiting for an answer.
+pub(crate) fn greet(node: &Rc<Node>, to: SocketAddr) {
+    let Some(socket) = node.socket() else {
+        return;
+    };
+    let message = datagram(node, Signal::Ping, socket.next_number(), "");
+    tokio::task::spawn_local(async move { socket.send(to, &message).await });
+}
+
+/// Tells all VMs at once.
+pub(crate) fn broadcast(node: &Rc<Node>) {
+    let peers: Vec<SocketAddr> = {
+        let view = node.view();
+        view.peers().into_iter().filter_map(address).collect()
+    };
+    for peer in peers {
+        greet(node, peer);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/store/feed.rs
@@ -0,0 +1,93 @@
+//! Follows one table of the store and puts its changes into effect.
+
+use {
+    crate::{Change, Node, Page, StoreError},
+    std::{rc::Rc, time::Duration},
+    wire::Record,
+};
+
+/// Longest wait for a change in one call; a connection that goes silent is shown by its
+/// keep-alive probes long before.
+const WAIT: Duration = Duration::from_secs(10);
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const MAX_PAUSE: Duration = Duration::from_millis(600);
+
+/// Follows a table until the process ends.
+pub(crate) async fn follow(node: Rc<Node>, table: String) {
+    let mut pause = FIRST_PAUSE;
+    let mut read_anew = true;
+    loop {
+        let result = if read_anew {
+            read(&node, &table).await
+        } else {
+            next(&node, &table).await
+        };
+        match result {
+            Ok(()) => {
+                node.store_answered(&table);
+                pause = FIRST_PAUSE;
+                read_anew = false;
+            }
+            Err(StoreError::HistoryLost) => {
+                log::warn!(event = "history_lost", table = table.as_str(); "reading the table anew");
+                read_anew = true;
+            }
+            Err(error) => {
+                node.store_failed(&table, &error);
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(MAX_PAUSE);
+            }
+        }
+    }
+}
+
+/// Reads the whole table; rows that it does not show were deleted in the meantime.
+async fn read(node: &Rc<Node>, table: &str) -> Result<(), StoreError> {
+    let page = (node.store.read)(table.to_owned()).await?;
+    let missing = node.records().missing(table, &page.records, page.version);
+    apply(node, &page.records);
+    apply(node, &missing);
+    node.records().set_complete(table, page.version);
+    node.table_read(table);
+    Ok(())
+}
+
+async fn next(node: &Rc<Node>, table: &str) -> Result<(), StoreError> {
+    let after = node.records().complete(table).unwrap_or(0);
+    let page: Page = (node.store.follow)(table.to_owned(), after, WAIT).await?;
+    apply(node, &page.records);
+    node.records().set_complete(table, page.version);
+    Ok(())
+}
+
+/// Puts rows into effect that are newer than what is known, whoever brought them.
+pub(crate) fn apply(node: &Rc<Node>, records: &[Record]) {
+    let mut changed = false;
+    for record in records {
+        let is_news = node.records().take(record);
+        if is_news {
+            put(node, record);
+            changed = true;
+        }
+    }
+    if changed {
+        node.after_changes();
+    }
+}
+
+fn put(node: &Rc<Node>, record: &Record) {
+    let version = record.version;
+    let now = node.now();
+    match (node.store.decode)(record) {
+        Change::Routes(document) => node.put_routes(document, version),
+        Change::Target(target) => node.put_target(target, version, now),
+        Change::TargetGone(id) => node.remove_target(&id, version, "deleted", now),
+        Change::TargetUnreadable { id, reason } => {
+            node.remove_target(&id, version, &reason, now);
+        }
+        Change::Evacuation { zone, active } => node.put_evacuation(&zone, active, version, now),
+        Change::Unused { reason } => {
+            log::warn!(event = "row_unused", table = record.table.as_str(), key = record.key.as_str(), version = version, reason = reason.as_str(); "row not used");
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/store/mod.rs
@@ -0,0 +1,11 @@
+//! The platform's store, as far as the gateway needs it.
+
+mod feed;
+mod port;
+mod pull;
+mod register;
+
+pub(crate) use feed::{apply, follow};
+pub use port::{Change, Listed, Page, Store};
+pub(crate) use pull::pull_loop;
+pub(crate) use register::register;
--- /dev/null
+++ b/crates/gateway/src/store/pull.rs
@@ -0,0 +1,81 @@
+//! Asks another VM for the rows that the store does not give to this one.
+
+use {
+    crate::{Node, StoreError, exchange::Wanted, store::apply},
+    rand::Rng,
+    std::{net::SocketAddr, rc::Rc, time::Duration},
+    wire::{Batch, Member, Status},
+};
+
+const PERIOD: Duration = Duration::from_millis(200);
+const TIMEOUT: Duration = Duration::from_millis(700);
+/// Time that the store is given to bring what a peer already has.
+const PATIENCE: Duration = Duration::from_millis(250);
+/// Pause between two pulls while the store does not answer and no peer is known to be ahead.
+const BLIND_PERIOD: Duration = Duration::from_secs(1);
+
+/// Pulls from a peer that is ahead, or from any while the store does not answer.
+pub(crate) async fn pull_loop(node: Rc<Node>) {
+    let mut behind_since: Option<Duration> = None;
+    let mut pulled_at = Duration::ZERO;
+    loop {
+        tokio::time::sleep(PERIOD).await;
+        let now = node.now();
+        let newest = node.records().newest();
+        let ahead = node.view().serving().iter().any(|m| m.control > newest);
+        behind_since = ahead.then(|| behind_since.unwrap_or(now));
+        let waited = behind_since.is_some_and(|since| now - since >= PATIENCE);
+        let blind = !node.store_is_well() && now - pulled_at >= BLIND_PERIOD;
+        if waited || blind {
+            pulled_at = now;
+            pull_once(&node, newest).await;
+        }
+    }
+}
+
+async fn pull_once(node: &Rc<Node>, newest: u64) {
+    let Some(peer) = choose_peer(node, newest) else {
+        return;
+    };
+    let after = node.records().complete_all(&node.store.tables);
+    match pull(node, &peer, after).await {
+        Ok(batch) => {
+            let rows = batch.records.len();
+            apply(node, &batch.records);
+            for table in &node.store.tables {
+                node.records().set_complete(table, batch.version);
+            }
+            log::info!(event = "pulled", vm = peer.name.as_str(), after = after, version = batch.version, rows = rows; "rows from another VM");
+        }
+        Err(error) => {
+            log::warn!(event = "pull_failed", vm = peer.name.as_str(), reason:% = error; "no rows from another VM");
+        }
+    }
+}
+
+/// A peer that is ahead, in this VM's zone or region if there is one.
+fn choose_peer(node: &Rc<Node>, newest: u64) -> Option<Member> {
+    let view = node.view();
+    let peers = view.peers();
+    let alive = peers.into_iter().filter(|m| m.status == Status::Alive);
+    let place = |zone: &str| {
+        let far = node.settings.region_of(zone) != node.settings.region;
+        (zone != node.settings.zone, far)
+    };
+    let mut rng = rand::rng();
+    alive
+        .min_by_key(|m| (m.control <= newest, place(&m.zone), rng.random::<u32>()))
+        .cloned()
+}
+
+async fn pull(node: &Rc<Node>, peer: &Member, after: u64) -> Result<Batch, StoreError> {
+    let malformed = |error: &dyn std::fmt::Display| StoreError::Malformed(error.to_string());
+    let address: SocketAddr = peer.peer.parse().map_err(|e| malformed(&e))?;
+    let path = format!("/records?after={after}");
+    let wanted = Wanted::get(address, &path, TIMEOUT);
+    let answer = node.client.call(wanted).await?;
+    if answer.status != 200 {
+        return Err(StoreError::Refused(answer.status));
+    }
+    wire::decode(&answer.body).map_err(|e| malformed(&e))
+}
--- a/crates/rig/src/rig.rs
+++ b/crates/rig/src/rig.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{Admin, Layout, Place, Process, RigError, layout::workspace},
-    platform::Listed,
+    ports::Listed,
     settings::Fleet,
     stand::caller::{Caller, Plan},
     std::{
--- a/crates/rig/tests/store.rs
+++ b/crates/rig/tests/store.rs
@@ -7,7 +7,7 @@
     rig::{Audit, Load, Options, Rig, until},
     stand::{
         caller::Status,
-        platform::{Fault, Mode},
+        ports::{Fault, Mode},
     },
     std::time::Duration,
     wire::{Change, Verdict},
--- a/crates/stand/src/platform/server.rs
+++ b/crates/stand/src/platform/server.rs
@@ -4,7 +4,7 @@
     super::store::{Fault, Mode, Store},
     actix_web::{App, HttpResponse, HttpServer, web},
     futures_util::stream,
-    platform::{Listed, Op, Range},
+    ports::{Listed, Op, Range},
     serde::Serialize,
     std::{
         io,
--- a/crates/stand/src/platform/store.rs
+++ b/crates/stand/src/platform/store.rs
@@ -1,7 +1,7 @@
 //! What the platform keeps, and how it fails.
 
 use {
-    platform::{Condition, Effect, Listed, Op, OpResult, Range, Row},
+    ports::{Condition, Effect, Listed, Op, OpResult, Range, Row},
     serde::{Deserialize, Serialize},
     std::collections::BTreeMap,
 };
--- a/crates/steer/src/quarantine.rs
+++ b/crates/steer/src/quarantine.rs
@@ -61,6 +61,14 @@
         }
     }
 
+    /// Crash-like ends counted so far.
+    #[must_use]
+    pub fn count(&self, fingerprint: &str) -> u32 {
+        self.records
+            .get(fingerprint)
+            .map_or(0, |record| record.count)
+    }
+
     /// Time until the request may be tried again, when it is refused now.
     #[must_use]
     pub fn blocked(&self, fingerprint: &str, now: Duration) -> Option<Duration> {
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -3,6 +3,15 @@
 #![allow(clippy::match_single_binding)]
 #![allow(clippy::clone_on_copy)]
 
+#[doc = "Rows that changed after a version."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, Eq, Hash, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Batch {
+    #[doc = "In the order of their versions."]
+    pub records: ::std::vec::Vec<Record>,
+    #[doc = "Version up to which the sender knows all changes."]
+    pub version: u64,
+}
 #[doc = "What an operator asks for."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, Eq, Hash, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -33,6 +42,32 @@
     pub phase: Phase,
     pub status: u16,
 }
+#[doc = "How many targets a request has crashed."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, Eq, Hash, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Crash {
+    #[doc = "Targets that ended while they ran it."]
+    pub count: u32,
+    #[doc = "Hash of the request."]
+    pub fingerprint: ::std::string::String,
+}
+#[doc = "Message by which VMs find out who is there."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, Eq, Hash, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Datagram {
+    #[doc = "Member that the receiver shall ping; empty but for an ask."]
+    pub about: ::std::string::String,
+    #[doc = "Crash counts that rose lately."]
+    pub crashes: ::std::vec::Vec<Crash>,
+    pub from: Member,
+    #[doc = "Loads of the sender at targets."]
+    pub loads: ::std::vec::Vec<Load>,
+    #[doc = "Records that changed lately."]
+    pub news: ::std::vec::Vec<Member>,
+    #[doc = "Repeated in the answer."]
+    pub number: u64,
+    pub signal: Signal,
+}
 #[doc = "Answer to an operator's proposal."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, Eq, Hash, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -162,6 +197,15 @@
         value.parse()
     }
 }
+#[doc = "Requests that a VM has at a target."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, Eq, Hash, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Load {
+    #[doc = "Requests without an answer so far."]
+    pub running: u32,
+    #[doc = "Identifier of the target."]
+    pub target: ::std::string::String,
+}
 #[doc = "Answer to a caller that asks which VM to use."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, Eq, Hash, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -464,6 +508,20 @@
         value.parse()
     }
 }
+#[doc = "Row of the platform's store, as one VM passes it on to another."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, Eq, Hash, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Record {
+    #[doc = "Key of the row."]
+    pub key: ::std::string::String,
+    #[doc = "Table of the row."]
+    pub table: ::std::string::String,
+    #[doc = "Bytes of the row as base64; absent when the row was deleted."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub value: ::std::option::Option<::std::string::String>,
+    #[doc = "The store's counter at the last change of the row."]
+    pub version: u64,
+}
 #[doc = "Body of an answer that no upstream gave."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, Eq, Hash, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -486,6 +544,65 @@
     #[doc = "Target that answered; empty when none did."]
     pub target: ::std::string::String,
 }
+#[doc = "What a datagram between VMs asks or answers."]
+#[derive(
+    :: serde :: Deserialize,
+    :: serde :: Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+)]
+pub enum Signal {
+    #[serde(rename = "ping")]
+    Ping,
+    #[serde(rename = "ack")]
+    Ack,
+    #[serde(rename = "ask")]
+    Ask,
+    #[serde(rename = "load")]
+    Load,
+}
+impl ::std::fmt::Display for Signal {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Ping => f.write_str("ping"),
+            Self::Ack => f.write_str("ack"),
+            Self::Ask => f.write_str("ask"),
+            Self::Load => f.write_str("load"),
+        }
+    }
+}
+impl ::std::str::FromStr for Signal {
+    type Err = self::error::ConversionError;
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "ping" => Ok(Self::Ping),
+            "ack" => Ok(Self::Ack),
+            "ask" => Ok(Self::Ask),
+            "load" => Ok(Self::Load),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for Signal {
+    type Error = self::error::ConversionError;
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for Signal {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
 #[doc = "State of a member as another VM sees it."]
 #[derive(
     :: serde :: Deserialize,
