--- a/crates/balance/src/board.rs
+++ b/crates/balance/src/board.rs
@@ -2,14 +2,52 @@
 
 use {
     crate::{
-        Ask, Candidate, Decision, Distance, Gauge, Policy, Ramp, Report, Times, Warmth, choose,
-        weight,
+        Ask, Belief, Candidate, Distance, Gauge, Policy, Queues, Ramp, Report, Shift, Times, Turn,
+        Urgency, Verdict, Warmth, choose, weight,
     },
-    catalog::{Catalog, Target},
+    catalog::Target,
     std::{cmp::Reverse, time::Duration},
     wire::Map,
 };
 
+/// Requests that a target in another region may have beyond its slots, so that a slot
+/// does not stay empty for the time there and back.
+const FAR_EXTRA: f64 = 1.0;
+
+/// A request that looks for a target.
+#[derive(Debug, Clone, Copy)]
+pub struct Wish<'a> {
+    /// Name of the route.
+    pub route: &'a str,
+    /// Service that is to run it.
+    pub service: &'a str,
+    /// Latency objective of the route.
+    pub objective: Duration,
+    /// Object that it concerns, if it says.
+    pub object: Option<&'a str>,
+    /// Identifier of the request, which stands in for the object.
+    pub id: &'a str,
+    /// Its place among those that wait.
+    pub turn: Turn,
+    /// Time since it arrived.
+    pub waited: Duration,
+    /// Time until it ends without an answer.
+    pub left: Duration,
+}
+
+/// A target that the request may go to.
+#[derive(Debug, Clone, Copy)]
+pub struct Place<'a> {
+    /// The target.
+    pub target: &'a Target,
+    /// How far it is.
+    pub distance: Distance,
+    /// Time there and back.
+    pub round_trip: Duration,
+    /// Whether it has just started.
+    pub cold: bool,
+}
+
 /// A request that is at a target.
 #[derive(Debug, Clone)]
 pub struct Sent {
@@ -21,14 +59,33 @@
     pub object: Option<String>,
     /// When it was sent.
     pub at: Duration,
-    /// Whether the target was taken to know the object.
-    pub warm: bool,
-    /// Whether it was taken to run at once.
-    pub at_once: bool,
+    /// What was believed of the target and the object.
+    pub belief: Belief,
+    /// Requests that were taken to be at the target.
+    pub ahead: f64,
+    /// Requests that the target runs at a time.
+    pub slots: f64,
     /// Time there and back.
     pub round_trip: Duration,
 }
 
+/// What becomes of a request now.
+#[derive(Debug, Clone)]
+pub enum Decision {
+    /// It goes to a target.
+    Send(Sent),
+    /// It waits for a target.
+    Wait {
+        /// Identifier of the target.
+        target: String,
+    },
+    /// It is refused.
+    Refuse {
+        /// When a target is expected to have room.
+        after: Duration,
+    },
+}
+
 /// What is known of targets and routes.
 #[derive(Debug, Clone, Default)]
 pub struct Board {
@@ -36,136 +93,173 @@
     pub policy: Policy,
     /// Rates of cold targets.
     pub ramp: Ramp,
+    /// Requests that wait for targets.
+    pub queues: Queues,
+    /// How much of each service's work is urgent.
+    pub urgency: Urgency,
     gauges: Map<String, Gauge>,
     warmth: Warmth,
     times: Map<String, Times>,
-}
-
-/// What a request asks of the board.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Wish<'a> {
-    pub(crate) route: &'a str,
-    pub(crate) object: Option<&'a str>,
+    shifts: Map<String, Shift>,
 }
 
 impl Board {
-    /// Chooses a target among those that `place` lets in; it gives the distance and the
-    /// time there and back, and `None` for a target that this request may not go to.
-    ///
-    /// # Errors
-    /// The time after which a target is expected to have room, when none has now.
-    #[allow(clippy::too_many_arguments, reason = "one call, made in one place")]
-    pub fn choose(
+    /// Decides where a request goes.
+    pub fn choose(&mut self, wish: &Wish<'_>, places: &[Place<'_>], now: Duration) -> Decision {
+        let candidates = self.candidates(wish, places, now);
+        let times = self.times(wish.route, wish.objective);
+        let ask = Ask {
+            warm_s: times.expect(Belief::Known),
+            cold_s: times.expect(Belief::Unknown),
+            waited_s: wish.waited.as_secs_f64(),
+            objective_s: wish.objective.as_secs_f64(),
+            deadline_left_s: wish.left.as_secs_f64(),
+        };
+        match choose(&ask, &candidates, &self.policy) {
+            Verdict::Refuse { after } => Decision::Refuse { after },
+            Verdict::Wait(index) => Decision::Wait {
+                target: candidates[index].id.to_owned(),
+            },
+            Verdict::Send(index) => Decision::Send(sent(wish, &candidates[index], now)),
+        }
+    }
+
+    /// Follows the load of the zone's own targets of a service, all of them given.
+    pub fn follow_load(
         &mut self,
-        catalog: &Catalog,
         service: &str,
-        route: (&str, Duration),
-        object: Option<&str>,
-        left: (f64, f64),
-        place: impl Fn(&Target) -> Option<(Distance, Duration)>,
-        cold_bound: impl Fn(&Target) -> Option<f64>,
+        places: &[Place<'_>],
+        regions: usize,
+        max_shift: f64,
         now: Duration,
-    ) -> Result<Sent, Duration> {
-        let wish = Wish {
-            route: route.0,
-            object,
+    ) {
+        let slots = |near: Distance| {
+            let within = places.iter().filter(|place| place.distance <= near);
+            within
+                .map(|place| f64::from(place.target.slots))
+                .sum::<f64>()
         };
-        let mut targets: Vec<(&Target, Distance, Duration, bool)> = Vec::new();
-        for target in catalog.usable(service) {
-            let Some((distance, round_trip)) = place(target) else {
-                continue;
-            };
-            let gauge = self.gauges.get(&target.id);
-            if gauge.is_some_and(|gauge| gauge.health.ejected(now)) {
-                continue;
-            }
-            let cold = catalog.is_cold(&target.id, now);
-            if cold {
-                let fits = cold_bound(target).is_some_and(|b| self.ramp.fits(&target.id, b, now));
-                if !fits {
-                    continue;
-                }
-            }
-            targets.push((target, distance, round_trip, cold));
+        let (zone, region, all) = (
+            slots(Distance::Zone),
+            slots(Distance::Region),
+            slots(Distance::Far),
+        );
+        if all <= 0.0 {
+            return;
         }
-        let candidates = self.candidates(&wish, &targets, now);
-        let times = self.times.entry(route.0.to_owned());
-        let times = times.or_insert_with(|| Times::new(route.1));
-        let ask = Ask {
-            warm_s: times.expect(true),
-            cold_s: times.expect(false),
-            objective_left_s: left.0,
-            objective_s: route.1.as_secs_f64(),
-            deadline_left_s: left.1,
+        let near = if zone > 0.0 {
+            Distance::Zone
+        } else {
+            Distance::Region
         };
-        match choose(&ask, &candidates, &self.policy) {
-            Decision::Refuse { after } => Err(after),
-            Decision::Send { index, .. } => Ok(sent(&wish, &candidates[index], now)),
-        }
+        let busy = places.iter().filter(|place| place.distance <= near);
+        let busy: f64 = busy.map(|place| self.load(&place.target.id, now)).sum();
+        let load = busy / slots(near).max(1.0);
+        let shift = self.shifts.entry(service.to_owned());
+        let shift = shift.or_insert_with(|| Shift::new(region / all, regions, now));
+        shift.update(load, max_shift, now);
+    }
+
+    /// Requests at a target and those that wait for it here.
+    fn load(&self, target: &str, now: Duration) -> f64 {
+        let at_it = self.gauges.get(target).map_or(0.0, |g| g.in_flight(now));
+        at_it + to_f64(self.queues.len(target))
+    }
+
+    /// Part of a service's objects that is served in other regions.
+    #[must_use]
+    pub fn shifted(&self, service: &str) -> f64 {
+        self.shifts.get(service).map_or(0.0, Shift::part)
     }
 
     fn candidates<'a>(
         &self,
         wish: &Wish<'_>,
-        targets: &[(&'a Target, Distance, Duration, bool)],
+        places: &[Place<'a>],
         now: Duration,
     ) -> Vec<Candidate<'a>> {
-        let key = wish.object.unwrap_or_default();
-        let mut order: Vec<usize> = (0..targets.len()).collect();
-        order.sort_by_key(|&i| (targets[i].1, Reverse(weight(key, &targets[i].0.id))));
-        let mut out = Vec::with_capacity(targets.len());
+        let key = wish.object.unwrap_or(wish.id);
+        let has_near = places.iter().any(|place| place.distance != Distance::Far);
+        let shift = self.shifts.get(wish.service);
+        let moved = !has_near || shift.is_some_and(|shift| shift.moves(key));
+        let mut order: Vec<&Place<'a>> = places.iter().collect();
+        order.sort_by_key(|place| (place.distance, Reverse(weight(key, &place.target.id))));
+        let mut out = Vec::with_capacity(places.len());
         let mut rank = 0;
         let mut before = None;
-        for index in order {
-            let (target, distance, round_trip, cold) = targets[index];
-            rank = if before == Some(distance) {
+        for place in order {
+            rank = if before == Some(place.distance) {
                 rank + 1
             } else {
                 0
             };
-            before = Some(distance);
-            out.push(self.candidate(wish, target, distance, round_trip, cold, rank, now));
+            before = Some(place.distance);
+            let at_home = moved == (place.distance == Distance::Far);
+            // An object that is not moved leaves its region only when nothing is left there.
+            if at_home || place.distance != Distance::Far {
+                out.push(self.candidate(wish, place, at_home, rank, now));
+            }
         }
         out
     }
 
-    #[allow(clippy::too_many_arguments, reason = "one call, made in one place")]
     fn candidate<'a>(
         &self,
         wish: &Wish<'_>,
-        target: &'a Target,
-        distance: Distance,
-        round_trip: Duration,
-        cold: bool,
+        place: &Place<'a>,
+        at_home: bool,
         rank: usize,
         now: Duration,
     ) -> Candidate<'a> {
+        let target = place.target;
         let gauge = self.gauges.get(&target.id);
-        let known = |object: &str| self.warmth.holds(&target.id, object);
-        let first = rank == 0 && distance == Distance::Zone;
+        let slots = f64::from(target.slots);
+        let far = if place.distance == Distance::Far {
+            FAR_EXTRA
+        } else {
+            0.0
+        };
+        let reserved = self
+            .urgency
+            .reserve(wish.service, wish.turn.priority, target.slots);
+        let first = rank == 0 && at_home && place.distance != Distance::Region;
+        let queued = to_f64(self.queues.ahead(&target.id, wish.turn));
         Candidate {
             id: &target.id,
-            slots: target.slots,
-            in_flight: gauge.map_or(0.0, |gauge| gauge.in_flight(now)),
-            distance,
-            round_trip_s: round_trip.as_secs_f64(),
+            limit: slots + far - reserved,
+            slots,
+            ahead: gauge.map_or(0.0, |gauge| gauge.in_flight(now)) + queued,
+            distance: place.distance,
+            at_home,
+            round_trip_s: place.round_trip.as_secs_f64(),
             rank: if wish.object.is_some() { rank } else { 0 },
-            warm: wish.object.is_none_or(|object| first || known(object)),
-            cold,
+            belief: self.belief(wish, &target.id, first),
+            cold: place.cold,
             slowness: gauge.map_or(1.0, Gauge::slowness),
             trouble: gauge.map_or(0.0, |gauge| gauge.trouble(now)),
         }
     }
 
+    fn belief(&self, wish: &Wish<'_>, target: &str, first: bool) -> Belief {
+        match wish.object {
+            None => Belief::Known,
+            Some(object) if self.warmth.holds(target, wish.route, object) => Belief::Known,
+            Some(_) if first => Belief::Likely,
+            Some(_) => Belief::Unknown,
+        }
+    }
+
+    fn times(&mut self, route: &str, objective: Duration) -> &mut Times {
+        let times = self.times.entry(route.to_owned());
+        times.or_insert_with(|| Times::new(objective))
+    }
+
     /// Notes that a request goes to its target.
     pub fn start(&mut self, sent: &Sent, cold_bound: Option<f64>, now: Duration) {
         self.gauge(&sent.target).own += 1;
         if let Some(bound) = cold_bound {
             self.ramp.record(&sent.target, bound, now);
         }
-        if let Some(object) = &sent.object {
-            self.warmth.note(&sent.target, object);
-        }
     }
 
     /// Notes that a request is no longer at its target.
@@ -183,12 +277,17 @@
         if let Some(report) = report {
             gauge.report(report, now);
         }
+        if let Some(object) = &sent.object {
+            self.warmth.note(&sent.target, &sent.route, object);
+        }
         let Some(times) = self.times.get_mut(&sent.route) else {
             return;
         };
-        if sent.at_once {
-            gauge.note_time(ran.as_secs_f64(), times.expect(sent.warm));
-            times.note(sent.warm, ran);
+        if sent.ahead < sent.slots {
+            if sent.belief == Belief::Known {
+                gauge.note_time(ran.as_secs_f64(), times.expect(sent.belief));
+            }
+            times.note(sent.belief, ran);
         }
     }
 
@@ -256,8 +355,14 @@
         route: wish.route.to_owned(),
         object: wish.object.map(str::to_owned),
         at: now,
-        warm: candidate.warm,
-        at_once: candidate.in_flight < f64::from(candidate.slots),
+        belief: candidate.belief,
+        ahead: candidate.ahead,
+        slots: candidate.slots,
         round_trip: Duration::from_secs_f64(candidate.round_trip_s),
     }
 }
+
+#[allow(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
+fn to_f64(count: usize) -> f64 {
+    count as f64
+}
--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -1,6 +1,6 @@
-//! Which target runs a request, or that none should.
+//! Which target runs a request, whether it waits for it, or that none should.
 
-use std::{cmp::Ordering, time::Duration};
+use {crate::Belief, std::time::Duration};
 
 /// How far a target is from the VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -18,13 +18,13 @@
 pub struct Policy {
     /// What leaving the zone costs, as a part of the latency objective.
     pub leave_zone: f64,
-    /// What leaving the region costs on top.
+    /// What the region that is not an object's own costs.
     pub leave_region: f64,
     /// What missing the objective costs, as a part of the objective.
     pub late: f64,
-    /// Requests that may wait at a target, as a part of its slots.
-    pub queue: f64,
-    /// Longest expected time to an answer that is let in, in objectives.
+    /// How much more a running time counts than a wait: it takes a slot from others.
+    pub occupancy: f64,
+    /// Wait that is let in even if the objective is missed, as a part of the objective.
     pub patience: f64,
     /// How much a target further down an object's order is put back, as a part of
     /// the running time.
@@ -37,10 +37,10 @@
     fn default() -> Self {
         Self {
             leave_zone: 0.15,
-            leave_region: 0.1,
+            leave_region: 0.3,
             late: 1.0,
-            queue: 2.0,
-            patience: 3.0,
+            occupancy: 0.5,
+            patience: 0.3,
             spread: 0.1,
             cold_factor: 2.0,
         }
@@ -52,18 +52,22 @@
 pub struct Candidate<'a> {
     /// Identifier.
     pub id: &'a str,
+    /// Requests that it may have at a time.
+    pub limit: f64,
     /// Requests that it runs at a time.
-    pub slots: u32,
-    /// Requests at it now.
-    pub in_flight: f64,
+    pub slots: f64,
+    /// Requests at it now, and those that wait for it before this one.
+    pub ahead: f64,
     /// How far it is.
     pub distance: Distance,
+    /// Whether the object belongs where the target is.
+    pub at_home: bool,
     /// Time there and back, in seconds.
     pub round_trip_s: f64,
     /// Place in the object's order among the targets at the same distance.
     pub rank: usize,
-    /// Whether it handled the object lately.
-    pub warm: bool,
+    /// Whether it knows the object.
+    pub belief: Belief,
     /// Whether it has just started.
     pub cold: bool,
     /// Running time relative to its service.
@@ -79,76 +83,74 @@
     pub warm_s: f64,
     /// Expected running time elsewhere, in seconds.
     pub cold_s: f64,
-    /// Time left until the latency objective, in seconds; negative when it has passed.
-    pub objective_left_s: f64,
+    /// Time since the request arrived, in seconds.
+    pub waited_s: f64,
     /// The route's latency objective, in seconds.
     pub objective_s: f64,
     /// Time left until the request ends without an answer, in seconds.
     pub deadline_left_s: f64,
 }
 
-/// Where a request goes.
+/// What becomes of a request.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Decision {
-    /// To this candidate.
-    Send {
-        /// Its place among the candidates.
-        index: usize,
-        /// Expected time to the answer, in seconds.
-        expected_s: f64,
-    },
-    /// Nowhere: no target could answer in time.
+pub enum Verdict {
+    /// It goes to this candidate now.
+    Send(usize),
+    /// It waits for this candidate.
+    Wait(usize),
+    /// No target could answer in time.
     Refuse {
         /// When a target is expected to have room.
         after: Duration,
     },
 }
 
-/// Takes the target with the lowest cost among those that can answer in time.
+/// Takes the target with the lowest cost, or waits for it, or refuses.
 ///
-/// The cost is the expected time to the answer, raised by what distance, lateness and
-/// trouble cost. An object stays where it is known until the wait there outweighs the
-/// longer running time elsewhere; with that, a crowd does not scatter objects over targets
-/// that do not know them, which would lengthen every request and feed the crowd.
+/// The cost is the expected time to the answer, raised by what distance, lateness,
+/// occupancy and trouble cost. An object stays where it is known until the wait there
+/// outweighs the longer running time elsewhere; so a crowd does not scatter objects over
+/// targets that do not know them, which would lengthen every request and feed the crowd.
 #[must_use]
-pub fn choose(ask: &Ask, candidates: &[Candidate<'_>], policy: &Policy) -> Decision {
-    let mut best: Option<(f64, f64, usize)> = None;
-    let mut soonest = f64::INFINITY;
-    let longest = ask.deadline_left_s.min(policy.patience * ask.objective_s);
+pub fn choose(ask: &Ask, candidates: &[Candidate<'_>], policy: &Policy) -> Verdict {
+    let mut best: Option<(f64, usize)> = None;
     for (index, candidate) in candidates.iter().enumerate() {
-        let slots = f64::from(candidate.slots.max(1));
-        let full = candidate.in_flight >= slots * (1.0 + policy.queue);
-        let wait = wait_s(ask, candidate);
-        let expected = candidate.round_trip_s + wait + run_s(ask, candidate, policy);
-        soonest = soonest.min(wait);
-        if full || expected > longest {
-            continue;
-        }
-        let cost = expected + surcharge_s(ask, candidate, policy, expected);
-        let better = best.is_none_or(|(least, _, _)| cost.total_cmp(&least) == Ordering::Less);
-        if better {
-            best = Some((cost, expected, index));
+        let cost = cost_s(ask, candidate, policy);
+        if best.is_none_or(|(least, _)| cost < least) {
+            best = Some((cost, index));
         }
     }
-    match best {
-        Some((_, expected_s, index)) => Decision::Send { index, expected_s },
-        None => Decision::Refuse {
-            after: come_back(soonest, ask),
-        },
+    let Some((_, index)) = best else {
+        let after = Duration::from_secs_f64(ask.objective_s);
+        return Verdict::Refuse { after };
+    };
+    let candidate = &candidates[index];
+    let wait = wait_s(ask, candidate);
+    let run = run_s(ask, candidate, policy) + candidate.round_trip_s;
+    if candidate.ahead < candidate.limit {
+        return Verdict::Send(index);
+    }
+    let in_time = ask.objective_s - ask.waited_s - run;
+    let floor = policy.patience * ask.objective_s - ask.waited_s;
+    let bearable = in_time.max(floor).min(ask.deadline_left_s - run);
+    if wait <= bearable {
+        return Verdict::Wait(index);
+    }
+    Verdict::Refuse {
+        after: Duration::from_secs_f64(wait.clamp(ask.warm_s * 0.25, 60.0)),
     }
 }
 
+/// Expected time until the target begins with the request.
 fn wait_s(ask: &Ask, candidate: &Candidate<'_>) -> f64 {
-    let slots = f64::from(candidate.slots.max(1));
-    let ahead = (candidate.in_flight - slots + 1.0).max(0.0);
-    ahead / slots * ask.warm_s * candidate.slowness
+    let before = (candidate.ahead - candidate.slots + 1.0).max(0.0);
+    before / candidate.slots.max(1.0) * ask.warm_s * candidate.slowness
 }
 
 fn run_s(ask: &Ask, candidate: &Candidate<'_>, policy: &Policy) -> f64 {
-    let base = if candidate.warm {
-        ask.warm_s
-    } else {
-        ask.cold_s
+    let base = match candidate.belief {
+        Belief::Unknown => ask.cold_s,
+        Belief::Known | Belief::Likely => ask.warm_s,
     };
     let factor = if candidate.cold {
         policy.cold_factor
@@ -158,27 +160,19 @@
     base * factor * candidate.slowness
 }
 
-fn surcharge_s(ask: &Ask, candidate: &Candidate<'_>, policy: &Policy, expected: f64) -> f64 {
-    let distance = match candidate.distance {
-        Distance::Zone => 0.0,
-        Distance::Region => policy.leave_zone,
-        Distance::Far => policy.leave_zone + policy.leave_region,
-    };
-    let late = if expected > ask.objective_left_s {
-        policy.late
-    } else {
-        0.0
-    };
+fn cost_s(ask: &Ask, candidate: &Candidate<'_>, policy: &Policy) -> f64 {
+    let run = run_s(ask, candidate, policy);
+    let expected = candidate.round_trip_s + wait_s(ask, candidate) + run;
+    let mut parts = candidate.trouble;
+    if !candidate.at_home {
+        parts += policy.leave_region;
+    } else if candidate.distance == Distance::Region {
+        parts += policy.leave_zone;
+    }
+    if ask.waited_s + expected > ask.objective_s {
+        parts += policy.late;
+    }
     let rank = f64::from(u32::try_from(candidate.rank).unwrap_or(u32::MAX));
-    (distance + late + candidate.trouble) * ask.objective_s + rank * policy.spread * ask.warm_s
-}
-
-/// Time after which a target is expected to have room, at least a tenth of a running time.
-fn come_back(soonest_s: f64, ask: &Ask) -> Duration {
-    let known = if soonest_s.is_finite() {
-        soonest_s
-    } else {
-        ask.objective_s
-    };
-    Duration::from_secs_f64(known.max(ask.warm_s * 0.1).min(60.0))
+    let spread = rank * policy.spread * ask.warm_s;
+    expected + policy.occupancy * run + parts * ask.objective_s + spread
 }
--- /dev/null
+++ b/crates/balance/src/queue.rs
@@ -0,0 +1,52 @@
+//! Requests that wait at this VM for a slot of a target.
+
+use {std::collections::BTreeSet, wire::Map};
+
+/// Place in a queue: the more urgent come first, then the earlier.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Turn {
+    /// Rank of the route; 0 goes first.
+    pub priority: u32,
+    /// Grows with each request.
+    pub number: u64,
+}
+
+/// The requests that wait for each target.
+#[derive(Debug, Clone, Default)]
+pub struct Queues {
+    waiting: Map<String, BTreeSet<Turn>>,
+}
+
+impl Queues {
+    /// Adds a request to a target's queue.
+    pub fn enter(&mut self, target: &str, turn: Turn) {
+        self.waiting
+            .entry(target.to_owned())
+            .or_default()
+            .insert(turn);
+    }
+
+    /// Takes a request out.
+    pub fn leave(&mut self, target: &str, turn: Turn) {
+        let Some(queue) = self.waiting.get_mut(target) else {
+            return;
+        };
+        queue.remove(&turn);
+        if queue.is_empty() {
+            self.waiting.remove(target);
+        }
+    }
+
+    /// Requests that go before a turn.
+    #[must_use]
+    pub fn ahead(&self, target: &str, turn: Turn) -> usize {
+        let queue = self.waiting.get(target);
+        queue.map_or(0, |queue| queue.range(..turn).count())
+    }
+
+    /// Requests that wait for a target.
+    #[must_use]
+    pub fn len(&self, target: &str) -> usize {
+        self.waiting.get(target).map_or(0, BTreeSet::len)
+    }
+}
--- a/crates/balance/src/warmth.rs
+++ b/crates/balance/src/warmth.rs
@@ -3,30 +3,33 @@
 use {std::collections::VecDeque, wire::Map};
 
 /// Objects remembered for a target; targets remember tens of them.
-const OBJECTS: usize = 24;
+const OBJECTS: usize = 32;
+
+/// A route and an object of its requests.
+type Known = (String, String);
 
 /// The objects that this VM sent to each target, latest last.
 #[derive(Debug, Clone, Default)]
 pub struct Warmth {
-    objects: Map<String, VecDeque<String>>,
+    objects: Map<String, VecDeque<Known>>,
 }
 
 impl Warmth {
-    /// Notes that a target has handled an object.
-    pub fn note(&mut self, target: &str, object: &str) {
-        let known = self.objects.entry(target.to_owned()).or_default();
-        known.retain(|other| other != object);
-        if known.len() == OBJECTS {
-            known.pop_front();
+    /// Notes that a target has handled an object of a route.
+    pub fn note(&mut self, target: &str, route: &str, object: &str) {
+        let objects = self.objects.entry(target.to_owned()).or_default();
+        objects.retain(|known| !is(known, route, object));
+        if objects.len() == OBJECTS {
+            objects.pop_front();
         }
-        known.push_back(object.to_owned());
+        objects.push_back((route.to_owned(), object.to_owned()));
     }
 
     /// Whether the target has handled the object lately.
     #[must_use]
-    pub fn holds(&self, target: &str, object: &str) -> bool {
-        let known = self.objects.get(target);
-        known.is_some_and(|objects| objects.iter().any(|other| other == object))
+    pub fn holds(&self, target: &str, route: &str, object: &str) -> bool {
+        let objects = self.objects.get(target);
+        objects.is_some_and(|objects| objects.iter().any(|known| is(known, route, object)))
     }
 
     /// Forgets what a target knew: it started anew.
@@ -39,3 +42,7 @@
         self.objects.retain(|id, _| is_known(id));
     }
 }
+
+fn is(known: &Known, route: &str, object: &str) -> bool {
+    known.0 == route && known.1 == object
+}
--- a/crates/catalog/src/records.rs
+++ b/crates/catalog/src/records.rs
@@ -2,7 +2,7 @@
 
 use {
     std::collections::BTreeMap,
-    wire::{Map, Record},
+    wire::{Batch, Map, Record},
 };
 
 /// Deleted rows that are kept, so that peers can be told of them.
@@ -15,6 +15,8 @@
     by_version: BTreeMap<(u64, String, String), ()>,
     /// For each table, the version up to which every change is known.
     complete: Map<String, u64>,
+    /// For each table, the version from which on every deletion is known too.
+    base: Map<String, u64>,
     deleted: usize,
 }
 
@@ -60,6 +62,24 @@
     pub fn set_complete(&mut self, table: &str, version: u64) {
         let known = self.complete.entry(table.to_owned()).or_default();
         *known = version.max(*known);
+        self.base.entry(table.to_owned()).or_insert(version);
+    }
+
+    /// What another VM, which knows all changes up to a version, has missed.
+    ///
+    /// A VM that read a table whole never heard of what was deleted before; to one that is
+    /// further behind than that it gives all rows.
+    #[must_use]
+    pub fn batch(&self, after: u64, tables: &[String]) -> Batch {
+        let bases = tables.iter().map(|table| self.base.get(table).copied());
+        let base = bases.collect::<Option<Vec<u64>>>();
+        let base = base.and_then(|bases| bases.into_iter().max());
+        let whole = base.is_some_and(|base| after < base);
+        Batch {
+            records: self.since(if whole { 0 } else { after }),
+            version: self.complete_all(tables),
+            whole,
+        }
     }
 
     /// The version up to which every change of a table is known.
--- a/crates/gateway/src/front/serve.rs
+++ b/crates/gateway/src/front/serve.rs
@@ -53,9 +53,11 @@
         Ok(held) => held,
         Err(error) => return body_failed(&head, error),
     };
+    let service = node.pick_service(&route);
     let work = Work {
+        turn: node.next_turn(&route, &service),
         id: head.id.to_str().unwrap_or_default().to_owned(),
-        service: node.pick_service(&route),
+        service,
         object: head.object.clone().filter(|_| route.affinity),
         route,
         arrived,
--- a/crates/gateway/src/front/transit.rs
+++ b/crates/gateway/src/front/transit.rs
@@ -5,7 +5,7 @@
     crate::{
         Node,
         exchange::{Broken, NotRun, Outcome, Outgoing, Response, Way},
-        node::{Choice, Work},
+        node::{Choice, Step, Waiting, Work},
     },
     bytes::Bytes,
     http_body_util::Full,
@@ -15,6 +15,8 @@
 
 /// Longest wait for a connection; a target that has lost its power says nothing.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Pause after which a waiting request looks again.
+const RECHECK: Duration = Duration::from_millis(20);
 /// Requests with less time left are not sent: no target could answer.
 const MIN_LEFT: Duration = Duration::from_millis(5);
 
@@ -65,7 +67,7 @@
                 late()
             });
         }
-        let choice = match node.choose(work) {
+        let choice = match find(node, work).await {
             Ok(choice) => choice,
             Err(after) => return Err(no_target(doubt, after)),
         };
@@ -95,6 +97,28 @@
     }
 }
 
+/// Finds a target, after a wait if that leaves time for an answer.
+async fn find(node: &Rc<Node>, work: &Work) -> Result<Choice, Duration> {
+    let mut place: Option<(String, Waiting)> = None;
+    loop {
+        match node.choose(work) {
+            Step::Send(choice) => return Ok(choice),
+            Step::Refuse { after } => return Err(after),
+            Step::Wait { target } => {
+                let waits_for = place.as_ref().map(|(target, _)| target);
+                if waits_for != Some(&target) {
+                    drop(place.take());
+                    let waiting = Waiting::enter(node, target.clone(), work.turn);
+                    place = Some((target, waiting));
+                }
+            }
+        }
+        // Room may also come from other VMs, of which nobody tells.
+        let freed = node.freed.notified();
+        let _ = tokio::time::timeout(RECHECK, freed).await;
+    }
+}
+
 async fn exchange(node: &Rc<Node>, work: &Work, outgoing: &Outgoing, choice: &Choice) -> Outcome {
     let way = Way {
         target: &choice.sent.target,
@@ -128,7 +152,7 @@
     let now = node.now();
     let sent = &choice.sent;
     let took_ms = u64::try_from((now - sent.at).as_millis()).unwrap_or(u64::MAX);
-    log::info!(event = "exchange", request = work.id.as_str(), target = sent.target.as_str(), outcome = outcome.word(), warm = sent.warm, took_ms = took_ms; "exchange ended");
+    log::info!(event = "exchange", object = sent.object.as_deref().unwrap_or_default(), request = work.id.as_str(), target = sent.target.as_str(), outcome = outcome.word(), belief:? = sent.belief, ahead = sent.ahead, took_ms = took_ms; "exchange ended");
     metrics::counter!("cicadalift_exchanges_total", "outcome" => outcome.word()).increment(1);
     match outcome {
         Outcome::Answered(response) => {
@@ -182,7 +206,7 @@
     };
     let took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
     let status = answer.status().as_u16();
-    log::info!(event = "request_ended", request = work.id.as_str(), route = work.route.name.as_str(), service = work.service.as_str(), status = status, outcome = outcome, targets = work.tried.len(), version = node.table().version(), took_ms = took_ms; "request ended");
+    log::info!(event = "request_ended", object = work.object.as_deref().unwrap_or_default(), request = work.id.as_str(), route = work.route.name.as_str(), service = work.service.as_str(), status = status, outcome = outcome, targets = work.tried.len(), version = node.table().version(), took_ms = took_ms; "request ended");
     metrics::counter!("cicadalift_requests_total", "outcome" => outcome).increment(1);
     metrics::histogram!("cicadalift_request_seconds").record(took.as_secs_f64());
     answer
--- a/crates/gateway/src/launch.rs
+++ b/crates/gateway/src/launch.rs
@@ -13,6 +13,7 @@
 };
 
 const SWEEP: Duration = Duration::from_millis(500);
+const LOAD_PERIOD: Duration = Duration::from_millis(100);
 const STOP_POLL: Duration = Duration::from_millis(20);
 /// Time for which a VM that stops goes on, so that callers find others.
 const LEAVE_FOR: Duration = Duration::from_secs(3);
@@ -65,6 +66,7 @@
         tokio::task::spawn_local(store::follow(node.clone(), table));
     }
     tokio::task::spawn_local(sweep(node.clone()));
+    tokio::task::spawn_local(follow_load(node.clone()));
 
     stop_signal().await?;
     leave(&node).await;
@@ -111,6 +113,14 @@
     }
 }
 
+/// Follows the load of the targets.
+async fn follow_load(node: Rc<Node>) {
+    loop {
+        tokio::time::sleep(LOAD_PERIOD).await;
+        node.follow_load();
+    }
+}
+
 /// Lets go of what is no longer used.
 async fn sweep(node: Rc<Node>) {
     loop {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,4 +26,4 @@
 pub use names::Names;
 pub use node::Node;
 pub use settings::{Bounds, Settings};
-pub use store::{Change, Listed, Page, Store};
+pub use store::{Change, Decode, Follow, List, Listed, Page, Pending, Read, Register, Store};
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -7,4 +7,4 @@
 
 pub use state::Node;
 pub(crate) use state::millis;
-pub(crate) use work::{Choice, Work};
+pub(crate) use work::{Choice, Step, Waiting, Work};
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -12,7 +12,7 @@
         time::Duration,
     },
     steer::Quarantine,
-    tokio::sync::watch,
+    tokio::sync::{Notify, watch},
     wire::{Map, Member, Status},
 };
 
@@ -39,6 +39,9 @@
     pub(crate) quarantine: RefCell<Quarantine>,
     pub(crate) crashes: RefCell<Vec<(wire::Crash, u32)>>,
     pub(crate) peer_loads: RefCell<Map<String, crate::peers::PeerLoad>>,
+    /// Wakes requests that wait when a target has room.
+    pub(crate) freed: Notify,
+    pub(crate) turns: Cell<u64>,
     pub(crate) in_flight: Cell<usize>,
     pub(crate) buffered: Cell<usize>,
     view: RefCell<View>,
@@ -80,6 +83,8 @@
             quarantine: RefCell::default(),
             crashes: RefCell::default(),
             peer_loads: RefCell::default(),
+            freed: Notify::new(),
+            turns: Cell::new(0),
             in_flight: Cell::new(0),
             buffered: Cell::new(0),
             view: RefCell::new(view),
--- a/crates/gateway/src/node/work.rs
+++ b/crates/gateway/src/node/work.rs
@@ -2,10 +2,10 @@
 
 use {
     super::Node,
-    balance::{Distance, Sent, sponsors},
-    catalog::Target,
+    balance::{Decision, Distance, Place, Sent, Turn, Wish, sponsors},
+    catalog::{Catalog, Target},
     route::{Kind, Route},
-    std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
+    std::{collections::HashSet, net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
 };
 
 /// Time there and back within a zone, to another zone of the region, and to another region.
@@ -25,6 +25,8 @@
     pub(crate) arrived: Duration,
     /// When the caller or the route gives up.
     pub(crate) deadline: Duration,
+    /// Its place among the requests that wait.
+    pub(crate) turn: Turn,
     /// Targets that it was sent to.
     pub(crate) tried: Vec<String>,
 }
@@ -35,12 +37,22 @@
     }
 }
 
+/// What becomes of a request now.
+pub(crate) enum Step {
+    /// It goes to a target.
+    Send(Choice),
+    /// It waits for a target.
+    Wait { target: String },
+    /// It is refused, with the time after which to come back.
+    Refuse { after: Duration },
+}
+
 /// A target for a request.
 #[derive(Debug)]
 pub(crate) struct Choice {
     pub(crate) sent: Sent,
     pub(crate) address: SocketAddr,
-    pub(crate) in_flight: InFlight,
+    _in_flight: InFlight,
 }
 
 /// Accounts for a request at a target until it is dropped.
@@ -58,39 +70,68 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.node.board.borrow_mut().end(&self.sent);
+        self.node.freed.notify_waiters();
+    }
+}
+
+/// Holds a request's place in a target's queue until it is dropped.
+pub(crate) struct Waiting {
+    node: Rc<Node>,
+    target: String,
+    turn: Turn,
+}
+
+impl Waiting {
+    pub(crate) fn enter(node: &Rc<Node>, target: String, turn: Turn) -> Self {
+        node.board.borrow_mut().queues.enter(&target, turn);
+        Self {
+            node: node.clone(),
+            target,
+            turn,
+        }
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        let mut board = self.node.board.borrow_mut();
+        board.queues.leave(&self.target, self.turn);
     }
 }
 
 impl Node {
-    /// Chooses a target and counts the request there.
-    ///
-    /// # Errors
-    /// The time after which a target is expected to have room.
-    pub(crate) fn choose(self: &Rc<Self>, work: &Work) -> Result<Choice, Duration> {
+    /// Decides where a request goes now; a request that goes is counted at its target.
+    pub(crate) fn choose(self: &Rc<Self>, work: &Work) -> Step {
         let now = self.now();
-        let elapsed = now.saturating_sub(work.arrived).as_secs_f64();
-        let objective = work.route.objective.as_secs_f64() - elapsed;
-        let deadline = work.deadline.saturating_sub(now).as_secs_f64();
         let catalog = self.catalog.borrow();
-        let sent = self.board.borrow_mut().choose(
-            &catalog,
-            &work.service,
-            (&work.route.name, work.route.objective),
-            work.object.as_deref(),
-            (objective, deadline),
-            |target| self.place(work, target),
-            |target| self.cold_bound(target),
-            now,
-        )?;
+        let places = self.places(work, &catalog, now);
+        let wish = Wish {
+            route: &work.route.name,
+            service: &work.service,
+            objective: work.route.objective,
+            object: work.object.as_deref(),
+            id: &work.id,
+            turn: work.turn,
+            waited: now.saturating_sub(work.arrived),
+            left: work.deadline.saturating_sub(now),
+        };
+        let decision = self.board.borrow_mut().choose(&wish, &places, now);
+        let sent = match decision {
+            Decision::Send(sent) => sent,
+            Decision::Wait { target } => return Step::Wait { target },
+            Decision::Refuse { after } => return Step::Refuse { after },
+        };
         let Some(target) = catalog.get(&sent.target) else {
-            return Err(work.route.objective);
+            return Step::Refuse {
+                after: work.route.objective,
+            };
         };
         let cold = catalog.is_cold(&target.id, now);
         let bound = self.cold_bound(target).filter(|_| cold);
         self.board.borrow_mut().start(&sent, bound, now);
-        Ok(Choice {
+        Step::Send(Choice {
             address: target.address,
-            in_flight: InFlight {
+            _in_flight: InFlight {
                 node: self.clone(),
                 sent: sent.clone(),
             },
@@ -98,6 +139,57 @@
         })
     }
 
+    /// Targets that may run a request now.
+    fn places<'a>(&self, work: &'a Work, catalog: &'a Catalog, now: Duration) -> Vec<Place<'a>> {
+        let mut places = Vec::new();
+        for target in catalog.usable(&work.service) {
+            let Some((distance, round_trip)) = self.place(work, target) else {
+                continue;
+            };
+            let cold = catalog.is_cold(&target.id, now);
+            let out = self.board.borrow().is_ejected(&target.id, now);
+            if !out && (!cold || self.ramp_fits(target, now)) {
+                places.push(Place {
+                    target,
+                    distance,
+                    round_trip,
+                    cold,
+                });
+            }
+        }
+        places
+    }
+
+    fn ramp_fits(&self, target: &Target, now: Duration) -> bool {
+        let bound = self.cold_bound(target);
+        let mut board = self.board.borrow_mut();
+        bound.is_some_and(|bound| board.ramp.fits(&target.id, bound, now))
+    }
+
+    /// Follows the load of the targets near this VM, for all services.
+    pub(crate) fn follow_load(&self) {
+        let now = self.now();
+        let catalog = self.catalog.borrow();
+        let regions: HashSet<&String> = self.settings.regions.values().collect();
+        let max_shift = self.settings.bounds.max_shift;
+        for service in self.table().services() {
+            let targets = catalog.usable(&service.name);
+            let places: Vec<Place<'_>> = targets.map(|target| self.plain_place(target)).collect();
+            let mut board = self.board.borrow_mut();
+            board.follow_load(&service.name, &places, regions.len(), max_shift, now);
+        }
+    }
+
+    fn plain_place<'a>(&self, target: &'a Target) -> Place<'a> {
+        let (distance, round_trip) = self.distance(target);
+        Place {
+            target,
+            distance,
+            round_trip,
+            cold: false,
+        }
+    }
+
     /// How far a target is, unless the request may not go there.
     fn place(&self, work: &Work, target: &Target) -> Option<(Distance, Duration)> {
         let region = self.settings.region_of(&target.zone);
@@ -106,14 +198,17 @@
         if !at_home || work.tried.contains(&target.id) {
             return None;
         }
-        let (distance, round_trip) = if target.zone == self.settings.zone {
+        Some(self.distance(target))
+    }
+
+    fn distance(&self, target: &Target) -> (Distance, Duration) {
+        if target.zone == self.settings.zone {
             (Distance::Zone, ROUND_TRIPS[0])
-        } else if region == self.settings.region {
+        } else if self.settings.region_of(&target.zone) == self.settings.region {
             (Distance::Region, ROUND_TRIPS[1])
         } else {
             (Distance::Far, ROUND_TRIPS[2])
-        };
-        Some((distance, round_trip))
+        }
     }
 
     /// Requests a second that a cold target bears from all VMs, if this VM may send it any.
@@ -132,6 +227,18 @@
             .then_some(bound)
     }
 
+    /// The next place among the requests that wait.
+    pub(crate) fn next_turn(&self, route: &Route, service: &str) -> Turn {
+        let number = self.turns.get();
+        self.turns.set(number + 1);
+        let mut board = self.board.borrow_mut();
+        board.urgency.note(service, route.priority);
+        Turn {
+            priority: route.priority,
+            number,
+        }
+    }
+
     /// Service for the next request of a route, by the weights of its parts.
     pub(crate) fn pick_service(&self, route: &Route) -> String {
         if let [only] = route.backends.as_slice() {
--- a/crates/gateway/src/peers/records.rs
+++ b/crates/gateway/src/peers/records.rs
@@ -6,7 +6,6 @@
     http_body_util::Full,
     hyper::{Request, StatusCode, body::Incoming},
     std::rc::Rc,
-    wire::Batch,
 };
 
 /// Rows that changed after the version in the query.
@@ -18,11 +17,7 @@
     let Some(after) = after else {
         return plain(StatusCode::BAD_REQUEST, "no version");
     };
-    let records = node.records();
-    let batch = Batch {
-        records: records.since(after),
-        version: records.complete_all(&node.store.tables),
-    };
+    let batch = node.records().batch(after, &node.store.tables);
     match wire::encode(&batch) {
         Ok(bytes) => Answer::new(Full::new(Bytes::from(bytes))),
         Err(error) => {
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -6,6 +6,6 @@
 mod register;
 
 pub(crate) use feed::{apply, follow};
-pub use port::{Change, Listed, Page, Store};
+pub use port::{Change, Decode, Follow, List, Listed, Page, Pending, Read, Register, Store};
 pub(crate) use pull::pull_loop;
 pub(crate) use register::register;
--- a/crates/gateway/src/store/pull.rs
+++ b/crates/gateway/src/store/pull.rs
@@ -41,10 +41,7 @@
     match pull(node, &peer, after).await {
         Ok(batch) => {
             let rows = batch.records.len();
-            apply(node, &batch.records);
-            for table in &node.store.tables {
-                node.records().set_complete(table, batch.version);
-            }
+            take(node, &batch);
             log::info!(event = "pulled", vm = peer.name.as_str(), after = after, version = batch.version, rows = rows; "rows from another VM");
         }
         Err(error) => {
@@ -53,6 +50,21 @@
     }
 }
 
+/// Puts a batch into effect; what a whole one does not show was deleted.
+fn take(node: &Rc<Node>, batch: &Batch) {
+    if batch.version == 0 {
+        return;
+    }
+    apply(node, &batch.records);
+    for table in &node.store.tables {
+        if batch.whole {
+            let missing = node.records().missing(table, &batch.records, batch.version);
+            apply(node, &missing);
+        }
+        node.records().set_complete(table, batch.version);
+    }
+}
+
 /// A peer that is ahead, in this VM's zone or region if there is one.
 fn choose_peer(node: &Rc<Node>, newest: u64) -> Option<Member> {
     let view = node.view();
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -96,6 +96,11 @@
         self.services.get(name)
     }
 
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.services.values()
+    }
+
     /// Version in force; 0 before the first configuration.
     #[must_use]
     pub fn version(&self) -> u64 {
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -11,6 +11,8 @@
     pub records: ::std::vec::Vec<Record>,
     #[doc = "Version up to which the sender knows all changes."]
     pub version: u64,
+    #[doc = "Whether these are all rows: what is not among them was deleted before the version."]
+    pub whole: bool,
 }
 #[doc = "What an operator asks for."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, Eq, Hash, PartialEq)]
@@ -516,8 +518,8 @@
     pub key: ::std::string::String,
     #[doc = "Table of the row."]
     pub table: ::std::string::String,
-    #[doc = "Bytes of the row as base64; absent when the row was deleted."]
-    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    #[doc = "Bytes of the row as base64; null when the row was deleted."]
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
     pub value: ::std::option::Option<::std::string::String>,
     #[doc = "The store's counter at the last change of the row."]
     pub version: u64,
