--- /dev/null
+++ b/crates/balance/tests/board.rs
@@ -0,0 +1,214 @@
+//! Where work goes: load patterns against the pure decisions.
+
+use {
+    balance::{Belief, Board, Decision, Distance, Place, Report, Sent, Turn, Wish},
+    catalog::{State, Target},
+    std::{net::SocketAddr, time::Duration},
+};
+
+const NOW: Duration = Duration::from_secs(10);
+const OBJECTIVE: Duration = Duration::from_millis(600);
+
+fn target(id: &str, zone: &str) -> Target {
+    Target {
+        id: id.to_owned(),
+        service: "s".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 80)),
+        zone: zone.to_owned(),
+        slots: 4,
+        state: State::Ready,
+        warmup_left: Duration::ZERO,
+        born_ms: 1,
+    }
+}
+
+fn place(target: &Target, distance: Distance) -> Place<'_> {
+    Place {
+        target,
+        distance,
+        round_trip: Duration::from_millis(1),
+        cold: false,
+    }
+}
+
+fn wish(object: &str, priority: u32, number: u64) -> Wish<'_> {
+    Wish {
+        route: "r",
+        service: "s",
+        objective: OBJECTIVE,
+        object: Some(object),
+        id: "id",
+        turn: Turn { priority, number },
+        waited: Duration::ZERO,
+        left: Duration::from_secs(4),
+    }
+}
+
+fn send(board: &mut Board, wish: &Wish<'_>, places: &[Place<'_>]) -> Option<Sent> {
+    match board.choose(wish, places, NOW) {
+        Decision::Send(sent) => {
+            board.start(&sent, None, NOW);
+            Some(sent)
+        }
+        Decision::Wait { .. } | Decision::Refuse { .. } => None,
+    }
+}
+
+/// Pattern: the same objects come again and again while there is room.
+#[test]
+fn object_stays_with_its_target() {
+    let targets = [target("a", "z"), target("b", "z"), target("c", "z")];
+    let places: Vec<Place<'_>> = targets.iter().map(|t| place(t, Distance::Zone)).collect();
+    let mut board = Board::default();
+
+    for object in ["1", "2", "3", "4", "5"] {
+        let first = send(&mut board, &wish(object, 0, 1), &places).expect("room");
+        board.end(&first);
+        board.answered(&first, None, NOW + Duration::from_millis(700));
+        let again = send(&mut board, &wish(object, 0, 2), &places).expect("room");
+        board.end(&again);
+
+        assert_eq!(again.target, first.target);
+        assert_eq!(again.belief, Belief::Known);
+    }
+}
+
+/// Pattern: overload. A target is given no more than its slots; the rest waits or is
+/// refused at once with a time to come back.
+#[test]
+fn target_is_never_given_more_than_its_slots() {
+    let only = target("a", "z");
+    let places = [place(&only, Distance::Zone)];
+    let mut board = Board::default();
+
+    let sent = (0..50).filter(|&n| send(&mut board, &wish("1", 0, n), &places).is_some());
+
+    assert_eq!(sent.count(), 4);
+}
+
+#[test]
+fn long_queue_refuses_with_the_wait_as_the_time_to_come_back() {
+    let only = target("a", "z");
+    let places = [place(&only, Distance::Zone)];
+    let mut board = Board::default();
+    while send(&mut board, &wish("1", 0, 0), &places).is_some() {}
+    for number in 0..40 {
+        board.queues.enter(
+            "a",
+            Turn {
+                priority: 0,
+                number,
+            },
+        );
+    }
+
+    let decision = board.choose(&wish("1", 0, 99), &places, NOW);
+
+    let Decision::Refuse { after } = decision else {
+        panic!("not refused: {decision:?}");
+    };
+    assert!(after > OBJECTIVE, "{after:?}");
+}
+
+/// Pattern: urgent work arrives behind a queue of less urgent work.
+#[test]
+fn urgent_work_goes_before_what_waits() {
+    let only = target("a", "z");
+    let places = [place(&only, Distance::Zone)];
+    let mut board = Board::default();
+    let sent: Vec<Sent> = (0..4)
+        .filter_map(|n| send(&mut board, &wish("1", 2, n), &places))
+        .collect();
+    board.queues.enter(
+        "a",
+        Turn {
+            priority: 2,
+            number: 5,
+        },
+    );
+    board.end(&sent[0]);
+
+    let later = board.choose(&wish("1", 2, 6), &places, NOW);
+    let urgent = board.choose(&wish("1", 0, 7), &places, NOW);
+
+    assert!(matches!(later, Decision::Wait { .. }), "{later:?}");
+    assert!(matches!(urgent, Decision::Send(_)), "{urgent:?}");
+}
+
+/// Pattern: long, less urgent work beside much urgent work in one service.
+#[test]
+fn a_slot_stays_free_for_urgent_work_where_there_is_much() {
+    let only = target("a", "z");
+    let places = [place(&only, Distance::Zone)];
+    let mut board = Board::default();
+    for _ in 0..200 {
+        board.urgency.note("s", 0);
+    }
+
+    let less = (0..10).filter(|&n| send(&mut board, &wish("1", 2, n), &places).is_some());
+    assert_eq!(less.count(), 3);
+
+    assert!(send(&mut board, &wish("1", 0, 99), &places).is_some());
+}
+
+/// Pattern: one region has few targets for its callers. The part of its objects that is
+/// served elsewhere grows no faster than the bound allows.
+#[test]
+fn objects_move_to_other_regions_no_faster_than_the_bound() {
+    const MAX_SHIFT: f64 = 0.15;
+    let near: Vec<Target> = (0..4).map(|n| target(&format!("n{n}"), "z")).collect();
+    let far: Vec<Target> = (0..8).map(|n| target(&format!("f{n}"), "y")).collect();
+    let mut places: Vec<Place<'_>> = near.iter().map(|t| place(t, Distance::Zone)).collect();
+    places.extend(far.iter().map(|t| place(t, Distance::Far)));
+    let mut board = Board::default();
+    let mut parts = Vec::new();
+
+    for step in 0..200 {
+        let now = NOW + Duration::from_millis(100) * step;
+        for target in &near {
+            board.turned_away(
+                &target.id,
+                Some(Report {
+                    running: 4,
+                    waiting: 8,
+                    slots: 4,
+                }),
+                now,
+            );
+        }
+        board.follow_load("s", &places, 3, MAX_SHIFT, now);
+        parts.push(board.shifted("s"));
+    }
+
+    let window = 20;
+    assert!(parts.last() > parts.first());
+    for pair in parts.windows(window + 1) {
+        assert!(pair[window] - pair[0] < MAX_SHIFT, "{pair:?}");
+    }
+}
+
+#[test]
+fn object_leaves_its_region_when_nothing_is_left_there() {
+    let far = target("f", "y");
+    let places = [place(&far, Distance::Far)];
+    let mut board = Board::default();
+
+    let sent = send(&mut board, &wish("1", 0, 1), &places);
+
+    assert_eq!(sent.map(|sent| sent.target).as_deref(), Some("f"));
+}
+
+#[test]
+fn target_that_started_anew_knows_nothing() {
+    let targets = [target("a", "z"), target("b", "z")];
+    let places: Vec<Place<'_>> = targets.iter().map(|t| place(t, Distance::Region)).collect();
+    let mut board = Board::default();
+    let first = send(&mut board, &wish("1", 0, 1), &places).expect("room");
+    board.end(&first);
+    board.answered(&first, None, NOW);
+
+    board.restarted(&first.target);
+    let again = send(&mut board, &wish("1", 0, 2), &places).expect("room");
+
+    assert_eq!(again.belief, Belief::Unknown);
+}
--- a/crates/catalog/src/records.rs
+++ b/crates/catalog/src/records.rs
@@ -1,7 +1,7 @@
 //! The rows of the platform's store as one VM knows them, in the store's order.
 
 use {
-    std::collections::BTreeMap,
+    std::collections::{BTreeSet, HashSet},
     wire::{Batch, Map, Record},
 };
 
@@ -12,7 +12,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Records {
     rows: Map<(String, String), Record>,
-    by_version: BTreeMap<(u64, String, String), ()>,
+    by_version: BTreeSet<(u64, String, String)>,
     /// For each table, the version up to which every change is known.
     complete: Map<String, u64>,
     /// For each table, the version from which on every deletion is known too.
@@ -34,7 +34,7 @@
         }
         self.deleted += usize::from(record.value.is_none());
         let at = (record.version, id.0.clone(), id.1.clone());
-        self.by_version.insert(at, ());
+        self.by_version.insert(at);
         self.rows.insert(id, record.clone());
         self.prune();
         true
@@ -43,12 +43,12 @@
     /// Rows that a complete reading of a table at `version` did not show, as deletions.
     #[must_use]
     pub fn missing(&self, table: &str, read: &[Record], version: u64) -> Vec<Record> {
-        let shown: Map<&str, ()> = read.iter().map(|r| (r.key.as_str(), ())).collect();
+        let shown: HashSet<&str> = read.iter().map(|r| r.key.as_str()).collect();
         let known = self.rows.values().filter(|row| {
             row.table == table
                 && row.value.is_some()
                 && row.version < version
-                && !shown.contains_key(row.key.as_str())
+                && !shown.contains(row.key.as_str())
         });
         let deletion = |row: &Record| Record {
             value: None,
@@ -98,8 +98,8 @@
     /// Version of the newest row.
     #[must_use]
     pub fn newest(&self) -> u64 {
-        let last = self.by_version.last_key_value();
-        last.map_or(0, |((version, _, _), ())| *version)
+        let last = self.by_version.last();
+        last.map_or(0, |(version, _, _)| *version)
     }
 
     /// Rows that changed after a version, oldest first.
@@ -108,7 +108,7 @@
         let start = (version + 1, String::new(), String::new());
         let after = self.by_version.range(start..);
         after
-            .filter_map(|((_, table, key), ())| self.rows.get(&(table.clone(), key.clone())))
+            .filter_map(|(_, table, key)| self.rows.get(&(table.clone(), key.clone())))
             .cloned()
             .collect()
     }
@@ -121,7 +121,7 @@
             let row = self.rows.get(&(table.clone(), key.clone()));
             row.is_some_and(|row| row.value.is_none())
         };
-        let oldest = self.by_version.keys().find(|at| is_deleted(at)).cloned();
+        let oldest = self.by_version.iter().find(|at| is_deleted(at)).cloned();
         if let Some(at) = oldest {
             self.by_version.remove(&at);
             self.rows.remove(&(at.1, at.2));
--- a/crates/gateway/src/exchange/call.rs
+++ b/crates/gateway/src/exchange/call.rs
@@ -96,14 +96,13 @@
 
     async fn call_now(&self, wanted: Wanted<'_>) -> Result<Returned, StoreError> {
         let no_answer = |e: &dyn std::fmt::Display| StoreError::NoAnswer(e.to_string());
-        let mut connection = match self.take(wanted.address) {
-            Some(connection) => connection,
-            None => {
-                let opened = Connection::open(wanted.address);
-                let opened = tokio::time::timeout(CONNECT_TIMEOUT, opened).await;
-                let opened = opened.map_err(|e| no_answer(&e))?;
-                opened.map_err(|e| no_answer(&e))?
-            }
+        let mut connection = if let Some(kept) = self.take(wanted.address) {
+            kept
+        } else {
+            let opened = Connection::open(wanted.address);
+            let opened = tokio::time::timeout(CONNECT_TIMEOUT, opened).await;
+            let opened = opened.map_err(|e| no_answer(&e))?;
+            opened.map_err(|e| no_answer(&e))?
         };
         let request = Request::builder()
             .method(wanted.method)
--- a/crates/gateway/src/exchange/outcome.rs
+++ b/crates/gateway/src/exchange/outcome.rs
@@ -4,7 +4,7 @@
     balance::Report,
     bytes::Bytes,
     hyper::{HeaderMap, StatusCode},
-    std::{fmt, time::Duration},
+    std::fmt,
 };
 
 /// A whole answer that a target made for this request.
@@ -50,12 +50,7 @@
     /// The target answered.
     Answered(Box<Response>),
     /// The target did not run the request.
-    NotRun {
-        why: NotRun,
-        report: Option<Report>,
-        /// Time after which the target asks to be tried again.
-        retry_after: Option<Duration>,
-    },
+    NotRun { why: NotRun, report: Option<Report> },
     /// The request may have run.
     Broken(Broken),
     /// The time was up.
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -7,10 +7,8 @@
     bytes::Bytes,
     http_body_util::{BodyExt, Full, LengthLimitError, Limited},
     hyper::{
-        HeaderMap, Method, Request, StatusCode, Uri,
-        body::Incoming,
-        client::conn::TrySendError,
-        header::{HeaderValue, RETRY_AFTER},
+        HeaderMap, Method, Request, StatusCode, Uri, body::Incoming, client::conn::TrySendError,
+        header::HeaderValue,
     },
     std::{net::SocketAddr, time::Duration},
     tokio::time::Instant,
@@ -120,11 +118,7 @@
 }
 
 fn not_run(why: NotRun) -> Outcome {
-    Outcome::NotRun {
-        why,
-        report: None,
-        retry_after: None,
-    }
+    Outcome::NotRun { why, report: None }
 }
 
 fn request(names: &Names, outgoing: &Outgoing, way: &Way<'_>) -> Request<Full<Bytes>> {
@@ -176,7 +170,6 @@
                 NotRun::Shed
             },
             report,
-            retry_after: headers.get(RETRY_AFTER).and_then(read_seconds),
         };
     }
     if echoed.is_none() {
@@ -207,11 +200,6 @@
     })
 }
 
-fn read_seconds(value: &HeaderValue) -> Option<Duration> {
-    let seconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
-    Duration::try_from_secs_f64(seconds).ok()
-}
-
 /// How long the connection may be idle, by the target's `Keep-Alive` header.
 fn idle_limit(headers: &HeaderMap) -> Duration {
     let value = headers.get("keep-alive").and_then(|v| v.to_str().ok());
--- a/crates/gateway/src/front/body.rs
+++ b/crates/gateway/src/front/body.rs
@@ -25,12 +25,12 @@
 }
 
 /// A body, counted against the memory for bodies until it is dropped.
-pub(crate) struct Held {
+pub(crate) struct Content {
     pub(crate) bytes: Bytes,
     node: Rc<Node>,
 }
 
-impl Drop for Held {
+impl Drop for Content {
     fn drop(&mut self) {
         let held = self.node.buffered.get();
         self.node
@@ -45,7 +45,7 @@
     body: Incoming,
     most: usize,
     until: Duration,
-) -> Result<Held, BodyError> {
+) -> Result<Content, BodyError> {
     let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     if stated > most {
         return Err(BodyError::TooLong);
@@ -61,7 +61,7 @@
         Ok(Ok(whole)) => whole.to_bytes(),
     };
     node.buffered.set(node.buffered.get() + bytes.len());
-    Ok(Held {
+    Ok(Content {
         bytes,
         node: node.clone(),
     })
--- a/crates/gateway/src/front/serve.rs
+++ b/crates/gateway/src/front/serve.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         answer::{Answer, plain, refusal},
-        body::{self, BodyError, Held},
+        body::{self, BodyError, Content},
         parse::{Head, ParseError, strip},
         transit,
     },
@@ -44,13 +44,13 @@
     let (parts, body) = request.into_parts();
     let (head, route) = match admit(&node, &parts) {
         Ok(admitted) => admitted,
-        Err(answer) => return answer,
+        Err(answer) => return *answer,
     };
     let longest = head.deadline.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived + longest;
     let most = node.table().limits().body_bytes;
-    let held = match body::read(&node, body, most, deadline).await {
-        Ok(held) => held,
+    let content = match body::read(&node, body, most, deadline).await {
+        Ok(content) => content,
         Err(error) => return body_failed(&head, error),
     };
     let service = node.pick_service(&route);
@@ -64,15 +64,15 @@
         deadline,
         tried: Vec::new(),
     };
-    let fingerprint = fingerprint(&work, &parts, &held);
-    let outgoing = outgoing(&head, parts, &held);
+    let fingerprint = fingerprint(&work, &parts, &content);
+    let outgoing = outgoing(&head, parts, &content);
     if work.is_idempotent() {
         return transit::run(&node, work, &outgoing, &fingerprint).await;
     }
     // Work that may not be repeated is seen through, also when the caller has left.
     let running = tokio::task::spawn_local(async move {
         let answer = transit::run(&node, work, &outgoing, &fingerprint).await;
-        drop((busy, held));
+        drop((busy, content));
         answer
     });
     running.await.unwrap_or_else(|error| {
@@ -82,25 +82,25 @@
 }
 
 /// Decides what needs no body: whether the request can be read and has a route.
-fn admit(node: &Rc<Node>, parts: &request::Parts) -> Result<(Head, Arc<Route>), Answer> {
+fn admit(node: &Rc<Node>, parts: &request::Parts) -> Result<(Head, Arc<Route>), Box<Answer>> {
     let head = Head::read(&node.names, parts).map_err(|error| {
         log::info!(event = "request_refused", status = 400, reason:% = error; "request cannot be read");
-        malformed(error)
+        Box::new(malformed(error))
     })?;
     let id = head.id.to_str().unwrap_or_default();
     if !node.is_informed() {
         log::info!(event = "request_refused", request = id, status = 503, reason = "uninformed"; "no routes or targets yet");
-        return Err(refusal("no routes yet", UNINFORMED_RETRY));
+        return Err(Box::new(refusal("no routes yet", UNINFORMED_RETRY)));
     }
     let leaving = node.leaving_since();
     if leaving.is_some_and(|since| node.now().saturating_sub(since) > LEAVING_WORK) {
         log::info!(event = "request_refused", request = id, status = 503, reason = "leaving"; "this VM stops");
-        return Err(refusal("stopping", LEAVING_RETRY));
+        return Err(Box::new(refusal("stopping", LEAVING_RETRY)));
     }
     let table = node.table();
     let Some(route) = table.find(&head.host, parts.uri.path()) else {
         log::info!(event = "request_refused", request = id, status = 404, reason = "no route", host = head.host.as_str(), version = table.version(); "no route");
-        return Err(plain(StatusCode::NOT_FOUND, "no route"));
+        return Err(Box::new(plain(StatusCode::NOT_FOUND, "no route")));
     };
     Ok((head, route.clone()))
 }
@@ -125,24 +125,24 @@
     }
 }
 
-fn outgoing(head: &Head, parts: request::Parts, held: &Held) -> Outgoing {
+fn outgoing(head: &Head, parts: request::Parts, content: &Content) -> Outgoing {
     let mut headers = parts.headers;
     strip(&mut headers);
     Outgoing {
         method: parts.method,
         uri: parts.uri,
         headers,
-        body: held.bytes.clone(),
+        body: content.bytes.clone(),
         id: head.id.clone(),
     }
 }
 
 /// Hash by which a request that crashes targets is known again under another identifier.
-fn fingerprint(work: &Work, parts: &request::Parts, held: &Held) -> String {
+fn fingerprint(work: &Work, parts: &request::Parts, content: &Content) -> String {
     let mut hash = Xxh3::new();
     hash.update(work.route.name.as_bytes());
     hash.update(parts.method.as_str().as_bytes());
     hash.update(parts.uri.to_string().as_bytes());
-    hash.update(&held.bytes);
+    hash.update(&content.bytes);
     format!("{:016x}", hash.digest())
 }
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -85,9 +85,9 @@
         }
         open.set(open.get() + 1);
         let counted = Open(open.clone());
-        let served = connection(server.clone(), stream, handler.clone());
+        let exchange = connection(server.clone(), stream, handler.clone());
         tokio::task::spawn_local(async move {
-            served.await;
+            exchange.await;
             drop(counted);
         });
     }
--- a/crates/gateway/src/front/transit.rs
+++ b/crates/gateway/src/front/transit.rs
@@ -102,7 +102,7 @@
     let mut place: Option<(String, Waiting)> = None;
     loop {
         match node.choose(work) {
-            Step::Send(choice) => return Ok(choice),
+            Step::Send(choice) => return Ok(*choice),
             Step::Refuse { after } => return Err(after),
             Step::Wait { target } => {
                 let waits_for = place.as_ref().map(|(target, _)| target);
@@ -151,7 +151,7 @@
 fn learn(node: &Rc<Node>, work: &Work, choice: &Choice, outcome: &Outcome, fingerprint: &str) {
     let now = node.now();
     let sent = &choice.sent;
-    let took_ms = u64::try_from((now - sent.at).as_millis()).unwrap_or(u64::MAX);
+    let took_ms = u64::try_from(now.saturating_sub(sent.at).as_millis()).unwrap_or(u64::MAX);
     log::info!(event = "exchange", object = sent.object.as_deref().unwrap_or_default(), request = work.id.as_str(), target = sent.target.as_str(), outcome = outcome.word(), belief:? = sent.belief, ahead = sent.ahead, took_ms = took_ms; "exchange ended");
     metrics::counter!("cicadalift_exchanges_total", "outcome" => outcome.word()).increment(1);
     match outcome {
--- a/crates/gateway/src/launch.rs
+++ b/crates/gateway/src/launch.rs
@@ -90,10 +90,10 @@
     let shared = node.clone();
     let handle = collected.clone();
     let server = node.server(node.settings.metrics, INNER_CONNECTIONS);
-    let served = serve_http(server, move |request| {
+    let started = serve_http(server, move |request| {
         std::future::ready(metrics::answer(&shared, &handle, &request))
     });
-    if let Err(error) = served {
+    if let Err(error) = started {
         log::warn!(event = "metrics_unavailable", reason:% = error; "callers are served without metrics");
     }
     Ok(())
@@ -153,7 +153,7 @@
     loop {
         tokio::time::sleep(STOP_POLL).await;
         let now = node.now();
-        let idle = node.in_flight.get() == 0 && now - since >= LEAVE_FOR;
+        let idle = node.in_flight.get() == 0 && now.saturating_sub(since) >= LEAVE_FOR;
         if idle || now >= end {
             return;
         }
--- a/crates/gateway/src/node/work.rs
+++ b/crates/gateway/src/node/work.rs
@@ -40,7 +40,7 @@
 /// What becomes of a request now.
 pub(crate) enum Step {
     /// It goes to a target.
-    Send(Choice),
+    Send(Box<Choice>),
     /// It waits for a target.
     Wait { target: String },
     /// It is refused, with the time after which to come back.
@@ -129,14 +129,14 @@
         let cold = catalog.is_cold(&target.id, now);
         let bound = self.cold_bound(target).filter(|_| cold);
         self.board.borrow_mut().start(&sent, bound, now);
-        Step::Send(Choice {
+        Step::Send(Box::new(Choice {
             address: target.address,
             _in_flight: InFlight {
                 node: self.clone(),
                 sent: sent.clone(),
             },
             sent,
-        })
+        }))
     }
 
     /// Targets that may run a request now.
--- a/crates/gateway/src/peers/load.rs
+++ b/crates/gateway/src/peers/load.rs
@@ -33,7 +33,7 @@
             continue;
         }
         let loads = own_loads(&node);
-        if loads == told && now - told_at < REPEAT {
+        if loads == told && now.saturating_sub(told_at) < REPEAT {
             continue;
         }
         let mut message = datagram(&node, Signal::Load, 0, "");
--- a/crates/gateway/src/peers/prober.rs
+++ b/crates/gateway/src/peers/prober.rs
@@ -22,8 +22,8 @@
     loop {
         tokio::time::sleep(PERIOD).await;
         let now = node.now();
-        if now - last > PAUSED {
-            log::warn!(event = "paused", for_ms = crate::node::millis(now - last); "this process stood still");
+        if now.saturating_sub(last) > PAUSED {
+            log::warn!(event = "paused", for_ms = crate::node::millis(now.saturating_sub(last)); "this process stood still");
             node.view().resume(now);
         }
         last = now;
--- a/crates/gateway/src/store/pull.rs
+++ b/crates/gateway/src/store/pull.rs
@@ -24,8 +24,8 @@
         let newest = node.records().newest();
         let ahead = node.view().serving().iter().any(|m| m.control > newest);
         behind_since = ahead.then(|| behind_since.unwrap_or(now));
-        let waited = behind_since.is_some_and(|since| now - since >= PATIENCE);
-        let blind = !node.store_is_well() && now - pulled_at >= BLIND_PERIOD;
+        let waited = behind_since.is_some_and(|since| now.saturating_sub(since) >= PATIENCE);
+        let blind = !node.store_is_well() && now.saturating_sub(pulled_at) >= BLIND_PERIOD;
         if waited || blind {
             pulled_at = now;
             pull_once(&node, newest).await;
--- a/crates/rig/tests/store.rs
+++ b/crates/rig/tests/store.rs
@@ -7,7 +7,7 @@
     rig::{Audit, Load, Options, Rig, until},
     stand::{
         caller::Status,
-        ports::{Fault, Mode},
+        platform::{Fault, Mode},
     },
     std::time::Duration,
     wire::{Change, Verdict},
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -86,8 +86,8 @@
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let prefixes = self.hosts.get(&host.to_ascii_lowercase())?;
-        let ends = path.match_indices('/').rev().map(|(at, _)| at + 1);
-        ends.filter_map(|end| prefixes.get(&path[..end])).next()
+        let mut ends = path.match_indices('/').rev().map(|(at, _)| at + 1);
+        ends.find_map(|end| prefixes.get(&path[..end]))
     }
 
     /// The service of that name.
