Let one VM of each zone follow the store and give its rows to the others

Ruled out: longer waits alone: the calls come from changes, not from time-outs.

Change: the VM with the highest weight in its zone follows the store, the others wait at it for rows; a VM whose source fails or does not hear the store follows it by itself for 3 s. A VM that registered before does not write its row again.

--- a/crates/gateway/src/launch.rs
+++ b/crates/gateway/src/launch.rs
@@ -62,6 +62,7 @@
     tokio::task::spawn_local(peers::load_loop(node.clone(), socket));
     tokio::task::spawn_local(store::register(node.clone()));
     tokio::task::spawn_local(store::pull_loop(node.clone()));
+    tokio::task::spawn_local(store::attend(node.clone()));
     for table in node.store.tables.clone() {
         tokio::task::spawn_local(store::follow(node.clone(), table));
     }
@@ -85,7 +86,7 @@
     let shared = node.clone();
     let server = node.server(node.settings.peers, INNER_CONNECTIONS);
     serve_http(server, move |request| {
-        std::future::ready(peers::records(&shared, &request))
+        peers::records(shared.clone(), request)
     })?;
     let shared = node.clone();
     let handle = collected.clone();
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -47,7 +47,8 @@
     view: RefCell<View>,
     records: RefCell<Records>,
     feeds: RefCell<Map<String, Feed>>,
-    list_read: Cell<bool>,
+    rows: watch::Sender<u64>,
+    on_its_own_until: Cell<Duration>,
     leaving: watch::Sender<Option<Duration>>,
     socket: RefCell<Option<Rc<crate::peers::Socket>>>,
 }
@@ -55,7 +56,6 @@
 /// What is known of the store by following one table.
 #[derive(Debug, Clone, Copy, Default)]
 struct Feed {
-    read: bool,
     failing_since: Option<Duration>,
     recovered_at: Option<Duration>,
 }
@@ -90,7 +90,8 @@
             view: RefCell::new(view),
             records: RefCell::default(),
             feeds: RefCell::default(),
-            list_read: Cell::new(false),
+            rows: watch::Sender::new(0),
+            on_its_own_until: Cell::new(Duration::ZERO),
             leaving: watch::Sender::new(None),
             socket: RefCell::default(),
         }
@@ -142,15 +143,25 @@
         self.view().introduce(&member, self.now());
     }
 
-    /// Notes that the list of VMs was read.
-    pub(crate) fn list_read(&self) {
-        self.list_read.set(true);
+    /// Notes that every change of a table up to a version is known.
+    pub(crate) fn completed(&self, table: &str, version: u64) {
+        self.records().set_complete(table, version);
+        self.rows.send_replace(version);
     }
 
-    /// Notes that a table was read whole.
-    pub(crate) fn table_read(&self, table: &str) {
-        let mut feeds = self.feeds.borrow_mut();
-        feeds.entry(table.to_owned()).or_default().read = true;
+    /// Follows what is known of the tables.
+    pub(crate) fn watch_rows(&self) -> watch::Receiver<u64> {
+        self.rows.subscribe()
+    }
+
+    /// Follows the store without a source until a time.
+    pub(crate) fn follow_on_its_own(&self, until: Duration) {
+        self.on_its_own_until.set(until);
+    }
+
+    /// Whether this VM's source failed a moment ago.
+    pub(crate) fn is_on_its_own(&self) -> bool {
+        self.now() < self.on_its_own_until.get()
     }
 
     /// Notes that the store answered.
@@ -165,6 +176,20 @@
         }
     }
 
+    /// Notes that a VM that hears the store gave this one what it missed.
+    pub(crate) fn source_answered(&self) {
+        let tables: Vec<String> = {
+            let feeds = self.feeds.borrow();
+            let failing = feeds
+                .iter()
+                .filter(|(_, feed)| feed.failing_since.is_some());
+            failing.map(|(table, _)| table.clone()).collect()
+        };
+        for table in tables {
+            self.store_answered(&table);
+        }
+    }
+
     /// Notes that the store did not answer.
     pub(crate) fn store_failed(&self, table: &str, error: &StoreError) {
         let now = self.now();
--- a/crates/gateway/src/peers/records.rs
+++ b/crates/gateway/src/peers/records.rs
@@ -1,23 +1,34 @@
 //! Gives other VMs the rows that they miss.
 
 use {
-    crate::{Answer, Node, front::plain},
+    crate::{Answer, Node, front::plain, store},
     bytes::Bytes,
     http_body_util::Full,
     hyper::{Request, StatusCode, body::Incoming},
-    std::rc::Rc,
+    std::{rc::Rc, time::Duration},
 };
 
-/// Rows that changed after the version in the query.
-pub(crate) fn records(node: &Rc<Node>, request: &Request<Incoming>) -> Answer {
+/// Rows that changed after the version in the query; waits for some if asked to.
+pub(crate) async fn records(node: Rc<Node>, request: Request<Incoming>) -> Answer {
     let query = request.uri().query().unwrap_or_default();
-    let after = query
-        .strip_prefix("after=")
-        .and_then(|text| text.parse().ok());
-    let Some(after) = after else {
+    let Some(after) = number(query, "after") else {
         return plain(StatusCode::BAD_REQUEST, "no version");
     };
-    let batch = node.records().batch(after, &node.store.tables);
+    let wait = Duration::from_millis(number(query, "wait_ms").unwrap_or(0));
+    let end = node.now() + wait.min(store::WAIT);
+    let mut rows = node.watch_rows();
+    while node.records().complete_all(&node.store.tables) <= after {
+        let changed = tokio::time::timeout_at(node.clock.at(end), rows.changed());
+        if changed.await.is_err() {
+            break;
+        }
+    }
+    answer(&node, after)
+}
+
+fn answer(node: &Rc<Node>, after: u64) -> Answer {
+    let well = node.store_is_well() && store::follows_store(node);
+    let batch = node.records().batch(after, &node.store.tables, well);
     match wire::encode(&batch) {
         Ok(bytes) => Answer::new(Full::new(Bytes::from(bytes))),
         Err(error) => {
@@ -26,3 +37,9 @@
         }
     }
 }
+
+fn number(query: &str, name: &str) -> Option<u64> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let found = pairs.find(|(key, _)| *key == name);
+    found.and_then(|(_, value)| value.parse().ok())
+}
--- /dev/null
+++ b/crates/gateway/src/store/attend.rs
@@ -0,0 +1,64 @@
+//! Hears changes from the VM of this zone that follows the store.
+//!
+//! One VM of each zone follows the store, so that its calls grow with the zones and not
+//! with the VMs. The others wait for rows at that VM. A VM whose source fails, or says that
+//! it does not hear the store itself, follows the store for a while on its own.
+
+use {
+    super::pull::{pull, take},
+    crate::Node,
+    balance::weight,
+    std::{rc::Rc, time::Duration},
+    wire::Member,
+};
+
+/// Longest wait for rows in one call; it bounds how long a source that says nothing is trusted.
+pub(crate) const WAIT: Duration = Duration::from_secs(1);
+/// On top of that wait.
+const MARGIN: Duration = Duration::from_millis(400);
+/// Time for which a VM follows the store after its source failed.
+const ON_ITS_OWN: Duration = Duration::from_secs(3);
+const STAND_BY: Duration = Duration::from_millis(50);
+
+/// Waits for rows at the zone's source until the process ends.
+pub(crate) async fn attend(node: Rc<Node>) {
+    loop {
+        let Some(source) = source(&node).filter(|_| !follows_store(&node)) else {
+            tokio::time::sleep(STAND_BY).await;
+            continue;
+        };
+        let after = node.records().complete_all(&node.store.tables);
+        let failed = match pull(&node, &source, after, WAIT, MARGIN).await {
+            Ok(batch) => {
+                if batch.well {
+                    node.source_answered();
+                }
+                take(&node, &batch);
+                (!batch.well).then(|| "source does not hear the store".to_owned())
+            }
+            Err(error) => Some(error.to_string()),
+        };
+        if let Some(reason) = failed {
+            log::warn!(event = "source_lost", vm = source.name.as_str(), reason = reason.as_str(); "following the store itself for a while");
+            node.follow_on_its_own(node.now() + ON_ITS_OWN);
+        }
+    }
+}
+
+/// Whether it falls to this VM to follow the store.
+pub(crate) fn follows_store(node: &Node) -> bool {
+    node.is_on_its_own() || source(node).is_none()
+}
+
+/// The VM of this zone that follows the store, unless it is this one.
+fn source(node: &Node) -> Option<Member> {
+    let view = node.view();
+    let place = |member: &Member| weight("store", &member.name);
+    let own = place(view.me());
+    let near = view
+        .peers()
+        .into_iter()
+        .filter(|member| member.zone == node.settings.zone && view.is_alive(&member.name));
+    let first = near.max_by_key(|member| place(member))?;
+    (place(first) > own).then(|| first.clone())
+}
--- a/crates/gateway/src/store/feed.rs
+++ b/crates/gateway/src/store/feed.rs
@@ -1,23 +1,33 @@
-//! Follows one table of the store and puts its changes into effect.
+//! Follows the tables of the store and puts their changes into effect.
 
 use {
+    super::attend::follows_store,
     crate::{Change, Node, Page, StoreError},
     std::{rc::Rc, time::Duration},
     wire::Record,
 };
 
-/// Longest wait for a change in one call; a connection that goes silent is shown by its
-/// keep-alive probes long before.
-const WAIT: Duration = Duration::from_secs(10);
+/// Longest wait for a change in one call; it bounds how long a store that says nothing at
+/// all is trusted.
+const WAIT: Duration = Duration::from_millis(2500);
+/// Changes of this span come in one call.
+const GATHER: Duration = Duration::from_millis(120);
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const MAX_PAUSE: Duration = Duration::from_millis(600);
+/// Pause between two looks at whether this VM is to follow the store.
+const STAND_BY: Duration = Duration::from_millis(50);
 
-/// Follows a table until the process ends.
+/// Follows a table until the process ends, whenever it falls to this VM.
 pub(crate) async fn follow(node: Rc<Node>, table: String) {
     let mut pause = FIRST_PAUSE;
-    let mut read_anew = true;
+    let mut read_anew = false;
     loop {
-        let result = if read_anew {
+        if !follows_store(&node) {
+            tokio::time::sleep(STAND_BY).await;
+            continue;
+        }
+        let known = node.records().complete(&table).is_some();
+        let result = if read_anew || !known {
             read(&node, &table).await
         } else {
             next(&node, &table).await
@@ -47,8 +57,7 @@
     let missing = node.records().missing(table, &page.records, page.version);
     apply(node, &page.records);
     apply(node, &missing);
-    node.records().set_complete(table, page.version);
-    node.table_read(table);
+    node.completed(table, page.version);
     Ok(())
 }
 
@@ -56,7 +65,10 @@
     let after = node.records().complete(table).unwrap_or(0);
     let page: Page = (node.store.follow)(table.to_owned(), after, WAIT).await?;
     apply(node, &page.records);
-    node.records().set_complete(table, page.version);
+    node.completed(table, page.version);
+    if !page.records.is_empty() {
+        tokio::time::sleep(GATHER).await;
+    }
     Ok(())
 }
 
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -1,10 +1,12 @@
 //! The platform's store, as far as the gateway needs it.
 
+mod attend;
 mod feed;
 mod port;
 mod pull;
 mod register;
 
+pub(crate) use attend::{WAIT, attend, follows_store};
 pub(crate) use feed::{apply, follow};
 pub use port::{Change, Decode, Follow, List, Listed, Page, Pending, Read, Register, Store};
 pub(crate) use pull::pull_loop;
--- a/crates/gateway/src/store/pull.rs
+++ b/crates/gateway/src/store/pull.rs
@@ -1,7 +1,8 @@
-//! Asks another VM for the rows that the store does not give to this one.
+//! Asks another VM for the rows that this one misses.
 
 use {
-    crate::{Node, StoreError, exchange::Wanted, store::apply},
+    super::apply,
+    crate::{Node, StoreError, exchange::Wanted},
     rand::Rng,
     std::{net::SocketAddr, rc::Rc, time::Duration},
     wire::{Batch, Member, Status},
@@ -9,7 +10,7 @@
 
 const PERIOD: Duration = Duration::from_millis(200);
 const TIMEOUT: Duration = Duration::from_millis(700);
-/// Time that the store is given to bring what a peer already has.
+/// Time that the usual source is given to bring what another VM already has.
 const PATIENCE: Duration = Duration::from_millis(250);
 /// Pause between two pulls while the store does not answer and no peer is known to be ahead.
 const BLIND_PERIOD: Duration = Duration::from_secs(1);
@@ -38,11 +39,10 @@
         return;
     };
     let after = node.records().complete_all(&node.store.tables);
-    match pull(node, &peer, after).await {
+    match pull(node, &peer, after, Duration::ZERO, TIMEOUT).await {
         Ok(batch) => {
-            let rows = batch.records.len();
             take(node, &batch);
-            log::info!(event = "pulled", vm = peer.name.as_str(), after = after, version = batch.version, rows = rows; "rows from another VM");
+            log::info!(event = "pulled", vm = peer.name.as_str(), after = after, version = batch.version, rows = batch.records.len(); "rows from another VM");
         }
         Err(error) => {
             log::warn!(event = "pull_failed", vm = peer.name.as_str(), reason:% = error; "no rows from another VM");
@@ -51,7 +51,7 @@
 }
 
 /// Puts a batch into effect; what a whole one does not show was deleted.
-fn take(node: &Rc<Node>, batch: &Batch) {
+pub(super) fn take(node: &Rc<Node>, batch: &Batch) {
     if batch.version == 0 {
         return;
     }
@@ -61,7 +61,7 @@
             let missing = node.records().missing(table, &batch.records, batch.version);
             apply(node, &missing);
         }
-        node.records().set_complete(table, batch.version);
+        node.completed(table, batch.version);
     }
 }
 
@@ -80,11 +80,18 @@
         .cloned()
 }
 
-async fn pull(node: &Rc<Node>, peer: &Member, after: u64) -> Result<Batch, StoreError> {
+/// Asks a peer for rows after a version; it may wait for some to come.
+pub(super) async fn pull(
+    node: &Rc<Node>,
+    peer: &Member,
+    after: u64,
+    wait: Duration,
+    margin: Duration,
+) -> Result<Batch, StoreError> {
     let malformed = |error: &dyn std::fmt::Display| StoreError::Malformed(error.to_string());
     let address: SocketAddr = peer.peer.parse().map_err(|e| malformed(&e))?;
-    let path = format!("/records?after={after}");
-    let wanted = Wanted::get(address, &path, TIMEOUT);
+    let path = format!("/records?after={after}&wait_ms={}", wait.as_millis());
+    let wanted = Wanted::get(address, &path, wait + margin);
     let answer = node.client.call(wanted).await?;
     if answer.status != 200 {
         return Err(StoreError::Refused(answer.status));
--- a/crates/gateway/src/store/register.rs
+++ b/crates/gateway/src/store/register.rs
@@ -1,37 +1,45 @@
 //! Makes this VM known to the others, and the others to this VM.
 
 use {
-    crate::{Listed, Node, peers},
+    crate::{Listed, Node, StoreError, peers},
     std::{rc::Rc, time::Duration},
 };
 
 const PAUSE: Duration = Duration::from_millis(400);
 /// Pause between two looks at the list while no other VM is heard, and otherwise.
 const ALONE_PAUSE: Duration = Duration::from_secs(2);
-const USUAL_PAUSE: Duration = Duration::from_secs(30);
+const USUAL_PAUSE: Duration = Duration::from_mins(1);
 
 /// Registers this VM, then looks at the list of VMs from time to time.
 pub(crate) async fn register(node: Rc<Node>) {
-    while let Err(error) = (node.store.register)(node.listed()).await {
+    while let Err(error) = enter(&node).await {
         log::warn!(event = "register_failed", reason:% = error; "this VM is not registered yet");
         tokio::time::sleep(PAUSE).await;
     }
     log::info!(event = "registered", vm = node.settings.name.as_str(); "registered");
     loop {
+        let alone = node.view().serving().len() < 2;
+        tokio::time::sleep(if alone { ALONE_PAUSE } else { USUAL_PAUSE }).await;
         match (node.store.list)().await {
             Ok(listed) => introduce(&node, &listed),
             Err(error) => {
                 log::warn!(event = "list_failed", reason:% = error; "the list of VMs is not to be had");
-                tokio::time::sleep(PAUSE).await;
-                continue;
             }
         }
-        node.list_read();
-        let alone = node.view().serving().len() < 2;
-        tokio::time::sleep(if alone { ALONE_PAUSE } else { USUAL_PAUSE }).await;
     }
 }
 
+/// Registers this VM unless a former incarnation did so, and reads who else is there.
+async fn enter(node: &Rc<Node>) -> Result<(), StoreError> {
+    let own = node.listed();
+    let before = (node.store.list)().await?;
+    introduce(node, &before);
+    if before.contains(&own) {
+        return Ok(());
+    }
+    (node.store.register)(own).await
+}
+
 fn introduce(node: &Rc<Node>, listed: &[Listed]) {
     for vm in listed {
         if vm.name != node.settings.name && !node.view().knows(&vm.name) {
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -11,6 +11,8 @@
     pub records: ::std::vec::Vec<Record>,
     #[doc = "Version up to which the sender knows all changes."]
     pub version: u64,
+    #[doc = "Whether the sender hears changes from the store itself."]
+    pub well: bool,
     #[doc = "Whether these are all rows: what is not among them was deleted before the version."]
     pub whole: bool,
 }
--- a/crates/wire/tests/records.rs
+++ b/crates/wire/tests/records.rs
@@ -29,11 +29,12 @@
         records: vec![record(None)],
         version: 9,
         whole: true,
+        well: false,
     };
 
     let read: Batch = decode(&encode(&batch)?)?;
 
     assert_eq!(read.records, batch.records);
-    assert_eq!((read.version, read.whole), (9, true));
+    assert_eq!((read.version, read.whole, read.well), (9, true, false));
     Ok(())
 }
