Move objects by offered work, and keep them where they are known in a crowd

Change: the moved part follows requests offered times their real running time; work that another region could only answer late stays; targets take objects that they do not know only into half of their slots; distances are measured; look-ups name the zone's own VMs alone; nothing is concluded without traffic.

--- a/crates/balance/src/board.rs
+++ b/crates/balance/src/board.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        Ask, Belief, Candidate, Distance, Gauge, Policy, Queues, Ramp, Report, Shift, Times, Turn,
-        Urgency, Verdict, Warmth, choose, weight,
+        Ask, Belief, Candidate, Distance, Gauge, Offer, Policy, Queues, Ramp, Report, Shift, Times,
+        Turn, Urgency, Verdict, Warmth, choose, weight,
     },
     catalog::Target,
     std::{cmp::Reverse, time::Duration},
@@ -14,6 +14,12 @@
 /// does not stay empty for the time there and back.
 const FAR_EXTRA: f64 = 1.0;
 
+/// Part of its slots up to which a target takes objects that it does not know: these run
+/// long and drive out what it knows, so they go only where there is room to spare.
+const STRANGER_PART: f64 = 0.5;
+/// Part of the objective in which another region has to answer, for work to move there.
+const FAR_PART: f64 = 0.8;
+
 /// A request that looks for a target.
 #[derive(Debug, Clone, Copy)]
 pub struct Wish<'a> {
@@ -48,6 +54,19 @@
     pub cold: bool,
 }
 
+/// Where this VM stands among the others.
+#[derive(Debug, Clone, Copy)]
+pub struct Scene {
+    /// VMs in this VM's zone, itself included.
+    pub zone_vms: usize,
+    /// VMs in this VM's region, itself included.
+    pub region_vms: usize,
+    /// Number of regions.
+    pub regions: usize,
+    /// Largest part of a region's requests that may change region between two windows.
+    pub max_shift: f64,
+}
+
 /// A request that is at a target.
 #[derive(Debug, Clone)]
 pub struct Sent {
@@ -55,6 +74,10 @@
     pub target: String,
     /// Name of the route.
     pub route: String,
+    /// Name of the service.
+    pub service: String,
+    /// How far the target is.
+    pub distance: Distance,
     /// Object that the request concerns, if it says.
     pub object: Option<String>,
     /// When it was sent.
@@ -101,6 +124,7 @@
     warmth: Warmth,
     times: Map<String, Times>,
     shifts: Map<String, Shift>,
+    offers: Map<String, Offer>,
 }
 
 impl Board {
@@ -124,13 +148,32 @@
         }
     }
 
-    /// Follows the load of the zone's own targets of a service, all of them given.
+    /// Notes a request that a caller sent.
+    pub fn offered(&mut self, wish: &Wish<'_>, now: Duration) {
+        let cold_s = self
+            .times(wish.route, wish.objective)
+            .expect(Belief::Unknown);
+        let offer = self.offers.entry(wish.service.to_owned());
+        let offer = offer.or_insert_with(|| Offer::new(cold_s, now));
+        offer.arrived(now);
+        self.urgency.note(wish.service, wish.turn.priority);
+    }
+
+    /// Part of a service's objects that is served in other regions.
+    #[must_use]
+    pub fn shifted(&self, service: &str) -> f64 {
+        self.shifts.get(service).map_or(0.0, Shift::part)
+    }
+
+    /// Follows the load that callers offer to a service, all of whose targets are given.
+    ///
+    /// Callers spread evenly over the VMs of their zone, so this VM's own requests tell
+    /// those of the zone.
     pub fn follow_load(
         &mut self,
         service: &str,
         places: &[Place<'_>],
-        regions: usize,
-        max_shift: f64,
+        scene: &Scene,
         now: Duration,
     ) {
         let slots = |near: Distance| {
@@ -147,29 +190,19 @@
         if all <= 0.0 {
             return;
         }
-        let near = if zone > 0.0 {
-            Distance::Zone
+        let offer = self.offers.get(service);
+        let measured = offer.filter(|offer| offer.is_measured(now));
+        let own = measured.map(|offer| offer.slots(now));
+        let share = if zone > 0.0 {
+            to_f64(scene.zone_vms) / zone
         } else {
-            Distance::Region
+            to_f64(scene.region_vms) / region
         };
-        let busy = places.iter().filter(|place| place.distance <= near);
-        let busy: f64 = busy.map(|place| self.load(&place.target.id, now)).sum();
-        let load = busy / slots(near).max(1.0);
         let shift = self.shifts.entry(service.to_owned());
-        let shift = shift.or_insert_with(|| Shift::new(region / all, regions, now));
-        shift.update(load, max_shift, now);
-    }
-
-    /// Requests at a target and those that wait for it here.
-    fn load(&self, target: &str, now: Duration) -> f64 {
-        let at_it = self.gauges.get(target).map_or(0.0, |g| g.in_flight(now));
-        at_it + to_f64(self.queues.len(target))
-    }
-
-    /// Part of a service's objects that is served in other regions.
-    #[must_use]
-    pub fn shifted(&self, service: &str) -> f64 {
-        self.shifts.get(service).map_or(0.0, Shift::part)
+        let shift = shift.or_insert_with(|| Shift::new(region / all, scene.regions, now));
+        if let Some(own) = own {
+            shift.update(own * share, scene.max_shift, now);
+        }
     }
 
     fn candidates<'a>(
@@ -181,7 +214,8 @@
         let key = wish.object.unwrap_or(wish.id);
         let has_near = places.iter().any(|place| place.distance != Distance::Far);
         let shift = self.shifts.get(wish.service);
-        let moved = !has_near || shift.is_some_and(|shift| shift.moves(key));
+        let in_time = self.far_in_time(wish, places);
+        let moved = !has_near || in_time && shift.is_some_and(|shift| shift.moves(key));
         let mut order: Vec<&Place<'a>> = places.iter().collect();
         order.sort_by_key(|place| (place.distance, Reverse(weight(key, &place.target.id))));
         let mut out = Vec::with_capacity(places.len());
@@ -203,6 +237,21 @@
         out
     }
 
+    /// Whether another region could answer inside the objective: work that would only be
+    /// late there is no relief for this one.
+    fn far_in_time(&self, wish: &Wish<'_>, places: &[Place<'_>]) -> bool {
+        let far = places
+            .iter()
+            .filter(|place| place.distance == Distance::Far);
+        let nearest = far.map(|place| place.round_trip).min();
+        let warm_s = self
+            .times
+            .get(wish.route)
+            .map_or(0.0, |t| t.expect(Belief::Known));
+        let bound = FAR_PART * wish.objective.as_secs_f64();
+        nearest.is_some_and(|round_trip| round_trip.as_secs_f64() + warm_s < bound)
+    }
+
     fn candidate<'a>(
         &self,
         wish: &Wish<'_>,
@@ -224,16 +273,22 @@
             .reserve(wish.service, wish.turn.priority, target.slots);
         let first = rank == 0 && at_home && place.distance != Distance::Region;
         let queued = to_f64(self.queues.ahead(&target.id, wish.turn));
+        let belief = self.belief(wish, &target.id, first);
+        let most = if belief == Belief::Unknown {
+            slots * STRANGER_PART
+        } else {
+            slots + far
+        };
         Candidate {
             id: &target.id,
-            limit: slots + far - reserved,
+            limit: most - reserved,
             slots,
             ahead: gauge.map_or(0.0, |gauge| gauge.in_flight(now)) + queued,
             distance: place.distance,
             at_home,
             round_trip_s: place.round_trip.as_secs_f64(),
             rank: if wish.object.is_some() { rank } else { 0 },
-            belief: self.belief(wish, &target.id, first),
+            belief,
             cold: place.cold,
             slowness: gauge.map_or(1.0, Gauge::slowness),
             trouble: gauge.map_or(0.0, |gauge| gauge.trouble(now)),
@@ -280,10 +335,15 @@
         if let Some(object) = &sent.object {
             self.warmth.note(&sent.target, &sent.route, object);
         }
+        let offer = self.offers.get_mut(&sent.service);
+        let waited = sent.ahead >= sent.slots || report.is_some_and(|report| report.waiting > 0);
+        if let Some(offer) = offer.filter(|_| sent.distance != Distance::Far && !waited) {
+            offer.ran(ran.as_secs_f64());
+        }
         let Some(times) = self.times.get_mut(&sent.route) else {
             return;
         };
-        if sent.ahead < sent.slots {
+        if !waited {
             if sent.belief == Belief::Known {
                 gauge.note_time(ran.as_secs_f64(), times.expect(sent.belief));
             }
@@ -353,6 +413,8 @@
     Sent {
         target: candidate.id.to_owned(),
         route: wish.route.to_owned(),
+        service: wish.service.to_owned(),
+        distance: candidate.distance,
         object: wish.object.map(str::to_owned),
         at: now,
         belief: candidate.belief,
--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -47,6 +47,9 @@
     }
 }
 
+/// Longest time to come back that is stated.
+const MAX_RETRY_S: f64 = 60.0;
+
 /// A target that may run the request.
 #[derive(Debug, Clone)]
 pub struct Candidate<'a> {
@@ -113,34 +116,37 @@
 /// targets that do not know them, which would lengthen every request and feed the crowd.
 #[must_use]
 pub fn choose(ask: &Ask, candidates: &[Candidate<'_>], policy: &Policy) -> Verdict {
-    let mut best: Option<(f64, usize)> = None;
+    let mut order: Vec<(f64, usize)> = Vec::with_capacity(candidates.len());
     for (index, candidate) in candidates.iter().enumerate() {
-        let cost = cost_s(ask, candidate, policy);
-        if best.is_none_or(|(least, _)| cost < least) {
-            best = Some((cost, index));
-        }
-    }
-    let Some((_, index)) = best else {
-        let after = Duration::from_secs_f64(ask.objective_s);
-        return Verdict::Refuse { after };
-    };
-    let candidate = &candidates[index];
-    let wait = wait_s(ask, candidate);
-    let run = run_s(ask, candidate, policy) + candidate.round_trip_s;
-    if candidate.ahead < candidate.limit {
-        return Verdict::Send(index);
+        order.push((cost_s(ask, candidate, policy), index));
     }
-    let in_time = ask.objective_s - ask.waited_s - run;
-    let floor = policy.patience * ask.objective_s - ask.waited_s;
-    let bearable = in_time.max(floor).min(ask.deadline_left_s - run);
-    if wait <= bearable {
-        return Verdict::Wait(index);
+    order.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let mut soonest = ask.objective_s;
+    for (_, index) in order {
+        let candidate = &candidates[index];
+        if candidate.ahead < candidate.limit {
+            return Verdict::Send(index);
+        }
+        let wait = wait_s(ask, candidate);
+        if wait <= bearable_s(ask, candidate, policy) {
+            return Verdict::Wait(index);
+        }
+        soonest = soonest.min(wait);
     }
+    let after = soonest.clamp(ask.warm_s * 0.25, MAX_RETRY_S);
     Verdict::Refuse {
-        after: Duration::from_secs_f64(wait.clamp(ask.warm_s * 0.25, 60.0)),
+        after: Duration::from_secs_f64(after),
     }
 }
 
+/// Longest wait for a target after which the answer is still worth having.
+fn bearable_s(ask: &Ask, candidate: &Candidate<'_>, policy: &Policy) -> f64 {
+    let run = run_s(ask, candidate, policy) + candidate.round_trip_s;
+    let in_time = ask.objective_s - ask.waited_s - run;
+    let least = policy.patience * ask.objective_s - ask.waited_s;
+    in_time.max(least).min(ask.deadline_left_s - run)
+}
+
 /// Expected time until the target begins with the request.
 fn wait_s(ask: &Ask, candidate: &Candidate<'_>) -> f64 {
     let before = (candidate.ahead - candidate.slots + 1.0).max(0.0);
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -16,14 +16,14 @@
 mod urgency;
 mod warmth;
 
-pub use board::{Board, Decision, Place, Sent, Wish};
+pub use board::{Board, Decision, Place, Scene, Sent, Wish};
 pub use choice::{Ask, Candidate, Distance, Policy, Verdict, choose};
 pub use cold::{Ramp, sponsors};
 pub use gauge::{Gauge, Report};
 pub use hash::weight;
 pub use queue::{Queues, Turn};
 pub use retry::{Retries, RetryRule};
-pub use shift::Shift;
+pub use shift::{Offer, Shift};
 pub use times::{Belief, Times};
 pub use urgency::Urgency;
 pub use warmth::Warmth;
--- a/crates/balance/src/shift.rs
+++ b/crates/balance/src/shift.rs
@@ -1,22 +1,72 @@
 //! Which part of a zone's objects is served in other regions.
 
-use std::time::Duration;
+use {crate::weight, std::time::Duration};
 
-use crate::weight;
-
-/// Load of the zone's own targets, as a part of their slots, above which more objects move
-/// away, and below which they come back.
-const BUSY: f64 = 0.8;
-const IDLE: f64 = 0.45;
+/// Load of the zone's own targets, as a part of their slots, above which objects move away.
+const BUSY: f64 = 0.75;
 /// Part of the allowed change in a window that is used, and the window it is stated for.
 const PACE: f64 = 0.6;
 const WINDOW_S: f64 = 2.0;
-/// Objects come back at this part of the pace: they leave targets that know them.
-const RETURN: f64 = 0.25;
-/// Load of the targets that is planned for before there is a measurement.
-const PLANNED: f64 = 0.77;
+/// Load of all targets that is assumed before there is a measurement.
+const ASSUMED: f64 = 0.75;
 /// Longest step of time that is taken at once.
 const MAX_STEP_S: f64 = 0.25;
+/// Requests a second below which nothing is concluded.
+const MIN_RATE: f64 = 2.0;
+/// Part of a new sample in the mean running time.
+const RUN_STEP: f64 = 0.05;
+/// Time over which the offered work is averaged.
+const AVERAGE_S: f64 = 1.5;
+
+/// Work that callers offer to a service.
+#[derive(Debug, Clone, Copy)]
+pub struct Offer {
+    /// Requests a second.
+    rate: f64,
+    at: Duration,
+    /// Mean time for which a request fills a slot of a target near this VM.
+    run_s: f64,
+}
+
+impl Offer {
+    /// Starts with the running time where no target knows the objects.
+    #[must_use]
+    pub fn new(run_s: f64, now: Duration) -> Self {
+        Self {
+            rate: 0.0,
+            at: now,
+            run_s,
+        }
+    }
+
+    /// Notes a request.
+    pub fn arrived(&mut self, now: Duration) {
+        self.rate = self.rate(now) + 1.0 / AVERAGE_S;
+        self.at = now;
+    }
+
+    /// Notes how long a target near this VM ran a request.
+    pub fn ran(&mut self, run_s: f64) {
+        self.run_s += RUN_STEP * (run_s - self.run_s);
+    }
+
+    /// Slots that the requests of late fill, or would fill.
+    #[must_use]
+    pub fn slots(&self, now: Duration) -> f64 {
+        self.rate(now) * self.run_s
+    }
+
+    /// Whether there are enough requests to tell the rate.
+    #[must_use]
+    pub fn is_measured(&self, now: Duration) -> bool {
+        self.rate(now) >= MIN_RATE
+    }
+
+    fn rate(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.at).as_secs_f64();
+        self.rate * (-age / AVERAGE_S).exp()
+    }
+}
 
 /// The part that moves, changed slowly: what moves meets targets that do not know it.
 #[derive(Debug, Clone)]
@@ -31,23 +81,20 @@
     #[must_use]
     pub fn new(share: f64, regions: usize, now: Duration) -> Self {
         let regions = f64::from(u32::try_from(regions.max(1)).unwrap_or(1));
-        let capacity = share * regions / PLANNED;
         Self {
-            part: (1.0 - capacity).clamp(0.0, 1.0),
+            part: excess(ASSUMED / (share * regions)),
             at: now,
         }
     }
 
-    /// Takes the load of the zone's own targets; `max_shift` bounds the change in a window.
+    /// Takes the load that callers offer to the zone's own targets, as a part of their
+    /// slots; `max_shift` bounds the change in a window.
     pub fn update(&mut self, load: f64, max_shift: f64, now: Duration) {
         let step = now.saturating_sub(self.at).as_secs_f64().min(MAX_STEP_S);
         self.at = now;
         let pace = max_shift * PACE / WINDOW_S * step;
-        if load > BUSY {
-            self.part = (self.part + pace).min(1.0);
-        } else if load < IDLE {
-            self.part = (self.part - pace * RETURN).max(0.0);
-        }
+        let change = excess(load) - self.part;
+        self.part += change.clamp(-pace, pace);
     }
 
     /// Whether an object is among those that move. The order of objects is fixed, so a
@@ -65,3 +112,12 @@
         self.part
     }
 }
+
+/// Part of a load that does not fit.
+fn excess(load: f64) -> f64 {
+    if load.is_finite() && load > BUSY {
+        1.0 - BUSY / load
+    } else {
+        0.0
+    }
+}
--- a/crates/gateway/src/exchange/client.rs
+++ b/crates/gateway/src/exchange/client.rs
@@ -9,11 +9,14 @@
 
 /// Idle connections kept for one address.
 const MAX_IDLE: usize = 8;
+/// Addresses whose distance is remembered.
+const MAX_ROUND_TRIPS: usize = 4096;
 
 /// Opens connections and keeps those that may be used again.
 #[derive(Default)]
 pub struct Client {
     idle: RefCell<Map<SocketAddr, Vec<Connection>>>,
+    round_trips: RefCell<Map<SocketAddr, Duration>>,
 }
 
 impl Client {
@@ -41,6 +44,26 @@
         }
     }
 
+    /// Notes how long it took to make a connection.
+    pub(crate) fn note_round_trip(&self, address: SocketAddr, took: Duration) {
+        let mut known = self.round_trips.borrow_mut();
+        if known.len() >= MAX_ROUND_TRIPS {
+            known.clear();
+        }
+        let mean = known.entry(address).or_insert(took);
+        // A slow connection says more of the target's load than of the way.
+        *mean = if took < *mean {
+            took
+        } else {
+            (*mean * 15 + took) / 16
+        };
+    }
+
+    /// Time to an address and back.
+    pub(crate) fn round_trip(&self, address: SocketAddr) -> Option<Duration> {
+        self.round_trips.borrow().get(&address).copied()
+    }
+
     /// Closes idle connections that may not be used again.
     pub(crate) fn sweep(&self) {
         let mut idle = self.idle.borrow_mut();
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -57,7 +57,7 @@
         };
         let mut connection = match reused {
             Some(connection) => connection,
-            None => match open(way).await {
+            None => match self.open(way).await {
                 Some(connection) => connection,
                 None => return not_run(NotRun::Unreachable),
             },
@@ -82,6 +82,15 @@
         outcome
     }
 
+    async fn open(&self, way: &Way<'_>) -> Option<Connection> {
+        let start = Instant::now();
+        let until = way.deadline.min(start + way.connect_timeout);
+        let opened = tokio::time::timeout_at(until, Connection::open(way.address)).await;
+        let connection = opened.ok()?.ok()?;
+        self.note_round_trip(way.address, start.elapsed());
+        Some(connection)
+    }
+
     /// Keeps the connection once the target has read the whole request too.
     fn keep_when_ready(
         self: &std::rc::Rc<Self>,
@@ -103,12 +112,6 @@
     }
 }
 
-async fn open(way: &Way<'_>) -> Option<Connection> {
-    let until = way.deadline.min(Instant::now() + way.connect_timeout);
-    let opened = tokio::time::timeout_at(until, Connection::open(way.address)).await;
-    opened.ok()?.ok()
-}
-
 /// A request that comes back with the error was not sent at all.
 fn failed_send(mut failed: TrySendError<Request<Full<Bytes>>>) -> Outcome {
     match failed.take_message() {
--- a/crates/gateway/src/front/serve.rs
+++ b/crates/gateway/src/front/serve.rs
@@ -55,7 +55,7 @@
     };
     let service = node.pick_service(&route);
     let work = Work {
-        turn: node.next_turn(&route, &service),
+        turn: node.next_turn(&route),
         id: head.id.to_str().unwrap_or_default().to_owned(),
         service,
         object: head.object.clone().filter(|_| route.affinity),
@@ -64,6 +64,7 @@
         deadline,
         tried: Vec::new(),
     };
+    node.note_offered(&work);
     let fingerprint = fingerprint(&work, &parts, &content);
     let outgoing = outgoing(&head, parts, &content);
     if work.is_idempotent() {
--- a/crates/gateway/src/front/transit.rs
+++ b/crates/gateway/src/front/transit.rs
@@ -152,7 +152,7 @@
     let now = node.now();
     let sent = &choice.sent;
     let took_ms = u64::try_from(now.saturating_sub(sent.at).as_millis()).unwrap_or(u64::MAX);
-    log::info!(event = "exchange", object = sent.object.as_deref().unwrap_or_default(), request = work.id.as_str(), target = sent.target.as_str(), outcome = outcome.word(), belief:? = sent.belief, ahead = sent.ahead, took_ms = took_ms; "exchange ended");
+    log::info!(event = "exchange", service = work.service.as_str(), object = sent.object.as_deref().unwrap_or_default(), request = work.id.as_str(), target = sent.target.as_str(), outcome = outcome.word(), belief:? = sent.belief, ahead = sent.ahead, took_ms = took_ms; "exchange ended");
     metrics::counter!("cicadalift_exchanges_total", "outcome" => outcome.word()).increment(1);
     match outcome {
         Outcome::Answered(response) => {
--- a/crates/gateway/src/node/directory.rs
+++ b/crates/gateway/src/node/directory.rs
@@ -9,7 +9,7 @@
 /// Time for which a look-up holds.
 const TTL: Duration = Duration::from_secs(1);
 /// VMs that callers are spread over at least, where there are as many.
-const MIN_VMS: usize = 2;
+const MIN_VMS: usize = 1;
 const MAX_VMS: usize = 64;
 
 /// What a caller is told.
--- a/crates/gateway/src/node/work.rs
+++ b/crates/gateway/src/node/work.rs
@@ -2,10 +2,11 @@
 
 use {
     super::Node,
-    balance::{Decision, Distance, Place, Sent, Turn, Wish, sponsors},
+    balance::{Decision, Distance, Place, Scene, Sent, Turn, Wish, sponsors},
     catalog::{Catalog, Target},
     route::{Kind, Route},
     std::{collections::HashSet, net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
+    wire::Member,
 };
 
 /// Time there and back within a zone, to another zone of the region, and to another region.
@@ -32,6 +33,19 @@
 }
 
 impl Work {
+    fn wish(&self, now: Duration) -> Wish<'_> {
+        Wish {
+            route: &self.route.name,
+            service: &self.service,
+            objective: self.route.objective,
+            object: self.object.as_deref(),
+            id: &self.id,
+            turn: self.turn,
+            waited: now.saturating_sub(self.arrived),
+            left: self.deadline.saturating_sub(now),
+        }
+    }
+
     pub(crate) fn is_idempotent(&self) -> bool {
         self.route.kind == Kind::Idempotent
     }
@@ -105,16 +119,7 @@
         let now = self.now();
         let catalog = self.catalog.borrow();
         let places = self.places(work, &catalog, now);
-        let wish = Wish {
-            route: &work.route.name,
-            service: &work.service,
-            objective: work.route.objective,
-            object: work.object.as_deref(),
-            id: &work.id,
-            turn: work.turn,
-            waited: now.saturating_sub(work.arrived),
-            left: work.deadline.saturating_sub(now),
-        };
+        let wish = work.wish(now);
         let decision = self.board.borrow_mut().choose(&wish, &places, now);
         let sent = match decision {
             Decision::Send(sent) => sent,
@@ -170,13 +175,27 @@
     pub(crate) fn follow_load(&self) {
         let now = self.now();
         let catalog = self.catalog.borrow();
-        let regions: HashSet<&String> = self.settings.regions.values().collect();
-        let max_shift = self.settings.bounds.max_shift;
+        let scene = self.scene();
         for service in self.table().services() {
             let targets = catalog.usable(&service.name);
             let places: Vec<Place<'_>> = targets.map(|target| self.plain_place(target)).collect();
             let mut board = self.board.borrow_mut();
-            board.follow_load(&service.name, &places, regions.len(), max_shift, now);
+            board.follow_load(&service.name, &places, &scene, now);
+        }
+    }
+
+    /// Where this VM stands among the others.
+    fn scene(&self) -> Scene {
+        let regions: HashSet<&String> = self.settings.regions.values().collect();
+        let view = self.view();
+        let serving = view.serving();
+        let here = |m: &&&Member| m.zone == self.settings.zone;
+        let near = |m: &&&Member| self.settings.region_of(&m.zone) == self.settings.region;
+        Scene {
+            zone_vms: serving.iter().filter(here).count().max(1),
+            region_vms: serving.iter().filter(near).count().max(1),
+            regions: regions.len(),
+            max_shift: self.settings.bounds.max_shift,
         }
     }
 
@@ -198,17 +217,23 @@
         if !at_home || work.tried.contains(&target.id) {
             return None;
         }
-        Some(self.distance(target))
+        let (distance, round_trip) = self.distance(target);
+        // A connection of its own costs one more.
+        let trips = if work.is_idempotent() { 1 } else { 2 };
+        Some((distance, round_trip * trips))
     }
 
+    /// How far a target is, and the time there and back by the connections made to it.
     fn distance(&self, target: &Target) -> (Distance, Duration) {
-        if target.zone == self.settings.zone {
+        let (distance, assumed) = if target.zone == self.settings.zone {
             (Distance::Zone, ROUND_TRIPS[0])
         } else if self.settings.region_of(&target.zone) == self.settings.region {
             (Distance::Region, ROUND_TRIPS[1])
         } else {
             (Distance::Far, ROUND_TRIPS[2])
-        }
+        };
+        let measured = self.client.round_trip(target.address);
+        (distance, measured.unwrap_or(assumed))
     }
 
     /// Requests a second that a cold target bears from all VMs, if this VM may send it any.
@@ -228,17 +253,21 @@
     }
 
     /// The next place among the requests that wait.
-    pub(crate) fn next_turn(&self, route: &Route, service: &str) -> Turn {
+    pub(crate) fn next_turn(&self, route: &Route) -> Turn {
         let number = self.turns.get();
         self.turns.set(number + 1);
-        let mut board = self.board.borrow_mut();
-        board.urgency.note(service, route.priority);
         Turn {
             priority: route.priority,
             number,
         }
     }
 
+    /// Notes a request that a caller sent.
+    pub(crate) fn note_offered(&self, work: &Work) {
+        let now = self.now();
+        self.board.borrow_mut().offered(&work.wish(now), now);
+    }
+
     /// Service for the next request of a route, by the weights of its parts.
     pub(crate) fn pick_service(&self, route: &Route) -> String {
         if let [only] = route.backends.as_slice() {
