Serve callers who can be in time before those who came back

Ruled out: cold runs alone (known objects ran 360 ms at p50, most of it waiting).

Change: the time that a caller grants, against the longest that is granted on its route, tells when it asked first; one that can no longer be in time waits behind others of its rank. The least time to come back is a quarter of the objective.

--- a/crates/balance/src/board.rs
+++ b/crates/balance/src/board.rs
@@ -35,8 +35,10 @@
     pub id: &'a str,
     /// Its place among those that wait.
     pub turn: Turn,
-    /// Time since it arrived.
+    /// Time since its caller asked first.
     pub waited: Duration,
+    /// Time since it arrived here.
+    pub waited_here: Duration,
     /// Time until it ends without an answer.
     pub left: Duration,
 }
@@ -136,6 +138,7 @@
             warm_s: times.expect(Belief::Known),
             cold_s: times.expect(Belief::Unknown),
             waited_s: wish.waited.as_secs_f64(),
+            waited_here_s: wish.waited_here.as_secs_f64(),
             objective_s: wish.objective.as_secs_f64(),
             deadline_left_s: wish.left.as_secs_f64(),
         };
@@ -148,6 +151,20 @@
         }
     }
 
+    /// How long ago the caller of a request that has just arrived asked first, by the time
+    /// that it grants, and whether its objective is missed for that.
+    pub fn asked_before(
+        &mut self,
+        route: &str,
+        objective: Duration,
+        granted: Duration,
+    ) -> (Duration, bool) {
+        let times = self.times(route, objective);
+        let before = times.asked_before(granted);
+        let late = before.as_secs_f64() + times.short() > objective.as_secs_f64();
+        (before, late)
+    }
+
     /// Notes a request that a caller sent.
     pub fn offered(&mut self, wish: &Wish<'_>, now: Duration) {
         let cold_s = self
--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -26,6 +26,8 @@
     pub occupancy: f64,
     /// Wait that is let in even if the objective is missed, as a part of the objective.
     pub patience: f64,
+    /// Least time to come back that is stated, as a part of the objective.
+    pub come_back: f64,
     /// How much a target further down an object's order is put back, as a part of
     /// the running time.
     pub spread: f64,
@@ -41,6 +43,7 @@
             late: 1.0,
             occupancy: 0.5,
             patience: 0.3,
+            come_back: 0.25,
             spread: 0.1,
             cold_factor: 2.0,
         }
@@ -86,8 +89,10 @@
     pub warm_s: f64,
     /// Expected running time elsewhere, in seconds.
     pub cold_s: f64,
-    /// Time since the request arrived, in seconds.
+    /// Time since the caller asked first, in seconds.
     pub waited_s: f64,
+    /// Time since the request arrived here, in seconds.
+    pub waited_here_s: f64,
     /// The route's latency objective, in seconds.
     pub objective_s: f64,
     /// Time left until the request ends without an answer, in seconds.
@@ -133,7 +138,7 @@
         }
         soonest = soonest.min(wait);
     }
-    let after = soonest.clamp(ask.warm_s * 0.25, MAX_RETRY_S);
+    let after = soonest.clamp(policy.come_back * ask.objective_s, MAX_RETRY_S);
     Verdict::Refuse {
         after: Duration::from_secs_f64(after),
     }
@@ -143,7 +148,7 @@
 fn bearable_s(ask: &Ask, candidate: &Candidate<'_>, policy: &Policy) -> f64 {
     let run = run_s(ask, candidate, policy) + candidate.round_trip_s;
     let in_time = ask.objective_s - ask.waited_s - run;
-    let least = policy.patience * ask.objective_s - ask.waited_s;
+    let least = policy.patience * ask.objective_s - ask.waited_here_s;
     in_time.max(least).min(ask.deadline_left_s - run)
 }
 
--- a/crates/balance/src/queue.rs
+++ b/crates/balance/src/queue.rs
@@ -2,11 +2,14 @@
 
 use {std::collections::BTreeSet, wire::Map};
 
-/// Place in a queue: the more urgent come first, then the earlier.
+/// Place in a queue: the more urgent come first, then those that can be in time, then the
+/// earlier.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Turn {
     /// Rank of the route; 0 goes first.
     pub priority: u32,
+    /// Whether its objective is missed already; others of its rank go before it.
+    pub late: bool,
     /// Grows with each request.
     pub number: u64,
 }
--- a/crates/balance/src/times.rs
+++ b/crates/balance/src/times.rs
@@ -6,6 +6,10 @@
 const STEP: f64 = 0.1;
 /// The same for samples longer than the short running time.
 const SHORT_STEP: f64 = 0.004;
+/// Part of the longest granted time that is kept at each request, so that a change is followed.
+const GRANTED_KEEP: f64 = 0.9999;
+/// Grants that differ by less are taken for the same.
+const SAME_GRANT_S: f64 = 0.05;
 /// Parts of the objective that are assumed before the first answers.
 const FIRST_WARM: f64 = 0.4;
 const FIRST_COLD: f64 = 1.2;
@@ -28,6 +32,8 @@
     cold_s: f64,
     /// Running time at a target that knows the object and is not crowded.
     short_s: f64,
+    /// Longest time that callers of the route grant.
+    granted_s: f64,
 }
 
 impl Times {
@@ -39,6 +45,7 @@
             warm_s: objective * FIRST_WARM,
             cold_s: objective * FIRST_COLD,
             short_s: objective * FIRST_WARM,
+            granted_s: 0.0,
         }
     }
 
@@ -63,6 +70,18 @@
         self.short_s += step * (ran - self.short_s);
     }
 
+    /// Takes the time that a caller grants, and returns how long ago it asked first.
+    ///
+    /// Callers of a route grant the same time, and one that was refused and comes back
+    /// grants only what is left of it.
+    pub fn asked_before(&mut self, granted: Duration) -> Duration {
+        let granted = granted.as_secs_f64();
+        self.granted_s = (self.granted_s * GRANTED_KEEP).max(granted);
+        let before = self.granted_s - granted;
+        let before = if before < SAME_GRANT_S { 0.0 } else { before };
+        Duration::from_secs_f64(before)
+    }
+
     /// Running time in seconds at a target that knows the object and is not crowded. The
     /// crowd near this VM does not lengthen it, so that it can be compared with a place
     /// that has no crowd.
--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -38,8 +38,13 @@
         objective: OBJECTIVE,
         object: Some(object),
         id: "id",
-        turn: Turn { priority, number },
+        turn: Turn {
+            priority,
+            late: false,
+            number,
+        },
         waited: Duration::ZERO,
+        waited_here: Duration::ZERO,
         left: Duration::from_secs(4),
     }
 }
@@ -97,6 +102,7 @@
             "a",
             Turn {
                 priority: 0,
+                late: false,
                 number,
             },
         );
@@ -123,6 +129,7 @@
         "a",
         Turn {
             priority: 2,
+            late: false,
             number: 5,
         },
     );
@@ -259,3 +266,40 @@
 
     assert!(moved.count() > 10);
 }
+
+/// Pattern: overload with callers who were refused and come back. They can no longer be in
+/// time, so one that still can goes first.
+#[test]
+fn caller_who_can_be_in_time_goes_before_one_who_came_back() {
+    let only = target("a", "z");
+    let places = [place(&only, Distance::Zone)];
+    let mut board = Board::default();
+    let sent: Vec<Sent> = (0..4)
+        .filter_map(|n| send(&mut board, &wish("1", 2, n), &places))
+        .collect();
+    board.queues.enter(
+        "a",
+        Turn {
+            priority: 2,
+            late: true,
+            number: 5,
+        },
+    );
+    board.end(&sent[0]);
+
+    let fresh = board.choose(&wish("1", 2, 6), &places, NOW);
+
+    assert!(matches!(fresh, Decision::Send(_)), "{fresh:?}");
+}
+
+#[test]
+fn time_that_a_caller_grants_tells_when_it_asked_first() {
+    let mut board = Board::default();
+    let granted = |ms| Duration::from_millis(ms);
+
+    let first = board.asked_before("r", OBJECTIVE, granted(4000));
+    let again = board.asked_before("r", OBJECTIVE, granted(3300));
+
+    assert_eq!(first, (Duration::ZERO, false));
+    assert!(again.0 > Duration::from_millis(690) && again.1, "{again:?}");
+}
--- a/crates/gateway/src/front/serve.rs
+++ b/crates/gateway/src/front/serve.rs
@@ -54,8 +54,15 @@
         Err(error) => return body_failed(&head, error),
     };
     let service = node.pick_service(&route);
+    let granted = head.deadline.unwrap_or(route.timeout);
+    let asked = node
+        .board
+        .borrow_mut()
+        .asked_before(&route.name, route.objective, granted);
+    let (asked_before, late) = asked;
     let work = Work {
-        turn: node.next_turn(&route),
+        turn: node.next_turn(&route, late),
+        asked_before,
         id: head.id.to_str().unwrap_or_default().to_owned(),
         service,
         object: head.object.clone().filter(|_| route.affinity),
--- a/crates/gateway/src/node/work.rs
+++ b/crates/gateway/src/node/work.rs
@@ -24,6 +24,8 @@
     pub(crate) service: String,
     pub(crate) object: Option<String>,
     pub(crate) arrived: Duration,
+    /// How long before that its caller asked first.
+    pub(crate) asked_before: Duration,
     /// When the caller or the route gives up.
     pub(crate) deadline: Duration,
     /// Its place among the requests that wait.
@@ -41,7 +43,8 @@
             object: self.object.as_deref(),
             id: &self.id,
             turn: self.turn,
-            waited: now.saturating_sub(self.arrived),
+            waited: now.saturating_sub(self.arrived) + self.asked_before,
+            waited_here: now.saturating_sub(self.arrived),
             left: self.deadline.saturating_sub(now),
         }
     }
@@ -253,11 +256,12 @@
     }
 
     /// The next place among the requests that wait.
-    pub(crate) fn next_turn(&self, route: &Route) -> Turn {
+    pub(crate) fn next_turn(&self, route: &Route, late: bool) -> Turn {
         let number = self.turns.get();
         self.turns.set(number + 1);
         Turn {
             priority: route.priority,
+            late,
             number,
         }
     }
