--- a/crates/balance/src/times.rs
+++ b/crates/balance/src/times.rs
@@ -25,15 +25,15 @@
     Unknown,
 }
 
-/// Moving means of the running time, by whether the target knew the object.
+/// Moving means of the running time in seconds, by whether the target knew the object.
 #[derive(Debug, Clone)]
 pub struct Times {
-    warm_s: f64,
-    cold_s: f64,
+    warm: f64,
+    cold: f64,
     /// Running time at a target that knows the object and is not crowded.
-    short_s: f64,
+    short: f64,
     /// Longest time that callers of the route grant.
-    granted_s: f64,
+    granted: f64,
 }
 
 impl Times {
@@ -42,10 +42,10 @@
     pub fn new(objective: Duration) -> Self {
         let objective = objective.as_secs_f64();
         Self {
-            warm_s: objective * FIRST_WARM,
-            cold_s: objective * FIRST_COLD,
-            short_s: objective * FIRST_WARM,
-            granted_s: 0.0,
+            warm: objective * FIRST_WARM,
+            cold: objective * FIRST_COLD,
+            short: objective * FIRST_WARM,
+            granted: 0.0,
         }
     }
 
@@ -54,20 +54,16 @@
     /// A target that was only likely to know the object counts as what its time is nearer to.
     pub fn note(&mut self, belief: Belief, ran: Duration) {
         let ran = ran.as_secs_f64();
-        let nearer_to_cold = (ran - self.cold_s).abs() < (ran - self.warm_s).abs();
+        let nearer_to_cold = (ran - self.cold).abs() < (ran - self.warm).abs();
         let warm = match belief {
             Belief::Known => true,
             Belief::Likely => !nearer_to_cold,
             Belief::Unknown => false,
         };
-        let mean = if warm {
-            &mut self.warm_s
-        } else {
-            &mut self.cold_s
-        };
+        let mean = if warm { &mut self.warm } else { &mut self.cold };
         *mean += STEP * (ran - *mean);
-        let step = if ran < self.short_s { STEP } else { SHORT_STEP };
-        self.short_s += step * (ran - self.short_s);
+        let step = if ran < self.short { STEP } else { SHORT_STEP };
+        self.short += step * (ran - self.short);
     }
 
     /// Takes the time that a caller grants, and returns how long ago it asked first.
@@ -76,8 +72,8 @@
     /// grants only what is left of it.
     pub fn asked_before(&mut self, granted: Duration) -> Duration {
         let granted = granted.as_secs_f64();
-        self.granted_s = (self.granted_s * GRANTED_KEEP).max(granted);
-        let before = self.granted_s - granted;
+        self.granted = (self.granted * GRANTED_KEEP).max(granted);
+        let before = self.granted - granted;
         let before = if before < SAME_GRANT_S { 0.0 } else { before };
         Duration::from_secs_f64(before)
     }
@@ -87,15 +83,15 @@
     /// that has no crowd.
     #[must_use]
     pub fn short(&self) -> f64 {
-        self.short_s
+        self.short
     }
 
     /// Expected running time in seconds.
     #[must_use]
     pub fn expect(&self, belief: Belief) -> f64 {
         match belief {
-            Belief::Unknown => self.cold_s.max(self.warm_s),
-            Belief::Known | Belief::Likely => self.warm_s,
+            Belief::Unknown => self.cold.max(self.warm),
+            Belief::Known | Belief::Likely => self.warm,
         }
     }
 }
--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -252,7 +252,7 @@
     }
 
     for step in 0..100 {
-        let now = NOW + Duration::from_secs(60) + Duration::from_millis(50) * step;
+        let now = NOW + Duration::from_mins(1) + Duration::from_millis(50) * step;
         for number in 0..10 {
             board.offered(&wish("1", 0, number), now);
         }
--- a/crates/gateway/src/errors.rs
+++ b/crates/gateway/src/errors.rs
@@ -33,6 +33,9 @@
         /// What the system says.
         source: io::Error,
     },
+    /// The settings cannot be read anew.
+    #[error("settings cannot be read: {0}")]
+    Settings(String),
     /// A signal cannot be waited for.
     #[error("signals cannot be received: {0}")]
     Signal(io::Error),
--- a/crates/gateway/src/launch.rs
+++ b/crates/gateway/src/launch.rs
@@ -9,11 +9,13 @@
         serve_http, store,
     },
     std::{rc::Rc, time::Duration},
-    tokio::signal::unix::{SignalKind, signal},
+    tokio::signal::unix::{Signal, SignalKind, signal},
 };
 
 const SWEEP: Duration = Duration::from_millis(500);
 const LOAD_PERIOD: Duration = Duration::from_millis(100);
+/// Settings may change without a signal.
+const RELOAD_PERIOD: Duration = Duration::from_secs(1);
 const STOP_POLL: Duration = Duration::from_millis(20);
 /// Time for which a VM that stops goes on, so that callers find others.
 const LEAVE_FOR: Duration = Duration::from_secs(3);
@@ -25,6 +27,9 @@
 const CALLER_PART: (usize, usize) = (3, 5);
 const INNER_CONNECTIONS: usize = 128;
 
+/// Reads the settings anew; `None` when they have not changed.
+pub type Reload = Rc<dyn Fn() -> Result<Option<Settings>, GatewayError>>;
+
 /// What an adapter puts together.
 pub struct Parts {
     /// What the VM was told.
@@ -35,6 +40,8 @@
     pub store: Store,
     /// Connections, shared with the store's calls.
     pub client: Rc<Client>,
+    /// Reads the settings anew.
+    pub reload: Reload,
 }
 
 /// Runs until told to stop. `more` starts what the adapter serves itself.
@@ -45,6 +52,8 @@
     parts: Parts,
     more: impl FnOnce(&Rc<Node>) -> Result<(), GatewayError>,
 ) -> Result<(), GatewayError> {
+    // Without a receiver the signal would end the process.
+    let hangup = signal(SignalKind::hangup()).map_err(GatewayError::Signal)?;
     let collected = metrics::start()?;
     let node = Node::new(parts.settings, parts.names, parts.store, parts.client);
     let node = Rc::new(node);
@@ -66,6 +75,7 @@
     for table in node.store.tables.clone() {
         tokio::task::spawn_local(store::follow(node.clone(), table));
     }
+    tokio::task::spawn_local(reload_loop(node.clone(), parts.reload, hangup));
     tokio::task::spawn_local(sweep(node.clone()));
     tokio::task::spawn_local(follow_load(node.clone()));
 
@@ -114,6 +124,28 @@
     }
 }
 
+/// Puts changed settings in force, at a signal and without one; bad ones change nothing.
+async fn reload_loop(node: Rc<Node>, reload: Reload, mut hangup: Signal) {
+    loop {
+        let signalled = tokio::time::timeout(RELOAD_PERIOD, hangup.recv())
+            .await
+            .is_ok();
+        match reload() {
+            Ok(Some(settings)) => {
+                log::info!(event = "settings_reloaded", signalled = signalled; "bounds of the settings in force");
+                node.set_bounds(settings.bounds);
+            }
+            Ok(None) if signalled => {
+                log::info!(event = "settings_unchanged", signalled = signalled; "settings have not changed");
+            }
+            Ok(None) => {}
+            Err(error) => {
+                log::warn!(event = "settings_rejected", signalled = signalled, reason:% = error; "settings kept");
+            }
+        }
+    }
+}
+
 /// Follows the load of the targets.
 async fn follow_load(node: Rc<Node>) {
     loop {
@@ -150,7 +182,7 @@
     peers::broadcast(node);
     log::info!(event = "leaving", vm = node.settings.name.as_str(), in_flight = node.in_flight.get(); "leaving");
     let since = node.now();
-    let end = since + node.settings.bounds.grace.saturating_sub(GRACE_MARGIN);
+    let end = since + node.bounds().grace.saturating_sub(GRACE_MARGIN);
     loop {
         tokio::time::sleep(STOP_POLL).await;
         let now = node.now();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,7 +21,7 @@
 pub use errors::{GatewayError, StoreError};
 pub use exchange::Client;
 pub use front::{Answer, Server, serve_http};
-pub use launch::{Parts, run};
+pub use launch::{Parts, Reload, run};
 pub use logs::start as start_log;
 pub use names::Names;
 pub use node::Node;
--- a/crates/gateway/src/node/directory.rs
+++ b/crates/gateway/src/node/directory.rs
@@ -46,7 +46,7 @@
         chosen.truncate(MAX_VMS);
         Answerable {
             addresses: chosen.into_iter().map(|m| m.caller.clone()).collect(),
-            ttl: TTL.min(self.settings.bounds.max_ttl),
+            ttl: TTL.min(self.bounds().max_ttl),
         }
     }
 }
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -1,7 +1,7 @@
 //! The parts of a node.
 
 use {
-    crate::{Clock, Listed, Names, Settings, Store, StoreError, exchange::Client},
+    crate::{Bounds, Clock, Listed, Names, Settings, Store, StoreError, exchange::Client},
     balance::{Board, Retries},
     catalog::{Catalog, Records},
     member::{Timing, View},
@@ -22,8 +22,10 @@
 
 /// One VM.
 pub struct Node {
-    /// What it was told at its start; replaced whole when the settings change.
+    /// What it was told at its start.
     pub settings: Settings,
+    /// Bounds in force; they change with the settings.
+    bounds: RefCell<Bounds>,
     /// Header names.
     pub names: Names,
     /// Calls of the platform's store.
@@ -70,6 +72,7 @@
         };
         let view = View::new(me(&settings), timing);
         Self {
+            bounds: RefCell::new(settings.bounds.clone()),
             settings,
             names,
             store,
@@ -97,6 +100,16 @@
         }
     }
 
+    /// Bounds in force.
+    pub(crate) fn bounds(&self) -> Bounds {
+        self.bounds.borrow().clone()
+    }
+
+    /// Puts other bounds in force.
+    pub(crate) fn set_bounds(&self, bounds: Bounds) {
+        *self.bounds.borrow_mut() = bounds;
+    }
+
     /// Time since the start of the process.
     #[must_use]
     pub fn now(&self) -> Duration {
--- a/crates/gateway/src/node/work.rs
+++ b/crates/gateway/src/node/work.rs
@@ -198,7 +198,7 @@
             zone_vms: serving.iter().filter(here).count().max(1),
             region_vms: serving.iter().filter(near).count().max(1),
             regions: regions.len(),
-            max_shift: self.settings.bounds.max_shift,
+            max_shift: self.bounds().max_shift,
         }
     }
 
@@ -243,7 +243,7 @@
     fn cold_bound(&self, target: &Target) -> Option<f64> {
         let table = self.table();
         let service = table.service(&target.service)?;
-        let bounds = &self.settings.bounds;
+        let bounds = self.bounds();
         let bound = service.warmup_rate * bounds.warmup_factor + bounds.warmup_slack;
         let view = self.view();
         let all = view.all();
@@ -288,7 +288,7 @@
         let now = self.now();
         let mut retries = self.retries.borrow_mut();
         let retries = retries.entry(service.to_owned()).or_default();
-        retries.first(now, &self.settings.bounds.retry);
+        retries.first(now, &self.bounds().retry);
     }
 
     /// Takes a retry out of this VM's part of the shared budget.
@@ -297,7 +297,7 @@
         let vms = self.view().all().len();
         let mut retries = self.retries.borrow_mut();
         let retries = retries.entry(service.to_owned()).or_default();
-        retries.withdraw(now, &self.settings.bounds.retry, vms)
+        retries.withdraw(now, &self.bounds().retry, vms)
     }
 
     /// Whether most of a service's targets still take work, so that one more may be ejected.
--- a/crates/stand/src/fault/mod.rs
+++ b/crates/stand/src/fault/mod.rs
@@ -3,5 +3,5 @@
 mod proxy;
 mod route;
 
-pub use proxy::serve;
-pub use route::{Mode, Setting};
+pub use proxy::{carry_all, serve};
+pub use route::{Mode, Route, Setting};
--- a/crates/stand/src/fault/proxy.rs
+++ b/crates/stand/src/fault/proxy.rs
@@ -37,7 +37,7 @@
         let listener = TcpListener::bind(listen).await?;
         let route = Arc::new(Route::new(&name, to));
         shared.push(route.clone());
-        actix_web::rt::spawn(accept(listener, route));
+        tokio::spawn(accept(listener, route));
     }
     let shared = web::Data::new(shared);
     HttpServer::new(move || {
@@ -52,6 +52,16 @@
     .await
 }
 
+/// Carries the connections to an address along a route, in the background.
+///
+/// # Errors
+/// When the address cannot be bound.
+pub async fn carry_all(listen: SocketAddr, route: Arc<Route>) -> io::Result<()> {
+    let listener = TcpListener::bind(listen).await?;
+    tokio::spawn(accept(listener, route));
+    Ok(())
+}
+
 async fn set(
     routes: web::Data<Vec<Arc<Route>>>,
     name: web::Path<String>,
@@ -80,7 +90,7 @@
         if route.setting().mode == Mode::Cut {
             continue;
         }
-        actix_web::rt::spawn(connect(client, route.clone()));
+        tokio::spawn(connect(client, route.clone()));
     }
 }
 
@@ -108,7 +118,7 @@
         if route.setting().mode == Mode::Cut && route.epoch() > epoch {
             return;
         }
-        actix_web::rt::time::sleep(POLL).await;
+        tokio::time::sleep(POLL).await;
     }
 }
 
@@ -135,7 +145,7 @@
         }
         hold(route, direction, epoch).await;
         let setting = route.setting();
-        actix_web::rt::time::sleep(Duration::from_millis(setting.delay_ms)).await;
+        tokio::time::sleep(Duration::from_millis(setting.delay_ms)).await;
         let most = allowed(&setting, direction, passed, length);
         if most > 0 && to.write_all(&buffer[..most]).await.is_err() {
             return;
@@ -161,7 +171,7 @@
         if !held {
             return;
         }
-        actix_web::rt::time::sleep(POLL).await;
+        tokio::time::sleep(POLL).await;
     }
 }
 
--- a/crates/stand/src/fault/route.rs
+++ b/crates/stand/src/fault/route.rs
@@ -47,7 +47,7 @@
 }
 
 /// One listener of the proxy and where it leads.
-pub(crate) struct Route {
+pub struct Route {
     pub(crate) name: String,
     pub(crate) to: SocketAddr,
     setting: Mutex<Setting>,
@@ -57,7 +57,9 @@
 }
 
 impl Route {
-    pub(crate) fn new(name: &str, to: SocketAddr) -> Self {
+    /// A route that passes everything.
+    #[must_use]
+    pub fn new(name: &str, to: SocketAddr) -> Self {
         Self {
             name: name.to_owned(),
             to,
@@ -67,7 +69,8 @@
         }
     }
 
-    pub(crate) fn set(&self, setting: Setting) {
+    /// Changes how the route fails.
+    pub fn set(&self, setting: Setting) {
         if let Ok(mut held) = self.setting.lock() {
             *held = setting;
         }
