--- a/crates/gateway/src/front/transit.rs
+++ b/crates/gateway/src/front/transit.rs
@@ -152,7 +152,7 @@
     let now = node.now();
     let sent = &choice.sent;
     let took_ms = u64::try_from(now.saturating_sub(sent.at).as_millis()).unwrap_or(u64::MAX);
-    log::info!(event = "exchange", service = work.service.as_str(), object = sent.object.as_deref().unwrap_or_default(), request = work.id.as_str(), target = sent.target.as_str(), outcome = outcome.word(), belief:? = sent.belief, ahead = sent.ahead, took_ms = took_ms; "exchange ended");
+    log::info!(event = "exchange", request = work.id.as_str(), target = sent.target.as_str(), outcome = outcome.word(), belief:? = sent.belief, ahead = sent.ahead, took_ms = took_ms; "exchange ended");
     metrics::counter!("cicadalift_exchanges_total", "outcome" => outcome.word()).increment(1);
     match outcome {
         Outcome::Answered(response) => {
@@ -206,7 +206,7 @@
     };
     let took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
     let status = answer.status().as_u16();
-    log::info!(event = "request_ended", object = work.object.as_deref().unwrap_or_default(), request = work.id.as_str(), route = work.route.name.as_str(), service = work.service.as_str(), status = status, outcome = outcome, targets = work.tried.len(), version = node.table().version(), took_ms = took_ms; "request ended");
+    log::info!(event = "request_ended", request = work.id.as_str(), route = work.route.name.as_str(), service = work.service.as_str(), status = status, outcome = outcome, targets = work.tried.len(), version = node.table().version(), took_ms = took_ms; "request ended");
     metrics::counter!("cicadalift_requests_total", "outcome" => outcome).increment(1);
     metrics::histogram!("cicadalift_request_seconds").record(took.as_secs_f64());
     answer
