State a time to come back only where the request may succeed later

Cause: a malformed or unknown request was told to come back after 4,678,725 ms; try_sites returned a later site's refusal as it was when no other may be asked, so that a doubt from an earlier site was dropped and 'not run' could be untrue of an idempotent request.

Change: no Retry-After and 0 ms for what can never be served; every way out of try_sites keeps an earlier doubt.

--- a/crates/entry/src/caller/answer.rs
+++ b/crates/entry/src/caller/answer.rs
@@ -22,10 +22,18 @@
     if answer.outcome == Outcome::Answered {
         return render_upstream(response, answer);
     }
-    let wait = spread(answer.retry_after);
-    let seconds = wait.as_millis().div_ceil(MS_PER_S).max(1);
+    // No time means that the request will not be served later either.
+    let may_succeed = !answer.retry_after.is_zero();
+    let wait = if may_succeed {
+        spread(answer.retry_after)
+    } else {
+        Duration::ZERO
+    };
     response.insert_header((header::REASON, answer.reason.to_string()));
-    response.insert_header((RETRY_AFTER, seconds.to_string()));
+    if may_succeed {
+        let seconds = wait.as_millis().div_ceil(MS_PER_S).max(1);
+        response.insert_header((RETRY_AFTER, seconds.to_string()));
+    }
     response.json(Refusal {
         outcome: answer.outcome,
         reason: answer.reason,
--- a/crates/entry/src/caller/parse.rs
+++ b/crates/entry/src/caller/parse.rs
@@ -13,7 +13,7 @@
 };
 
 const MIN_TIMEOUT_MS: u64 = 1;
-const RETRY_NEVER: Duration = Duration::from_hours(1);
+const RETRY_NEVER: Duration = Duration::ZERO;
 const MAX_FORWARDED_HEADERS: usize = 64;
 
 /// Headers that are not passed on to upstreams, besides those of one connection.
--- a/crates/entry/src/caller/serve.rs
+++ b/crates/entry/src/caller/serve.rs
@@ -33,7 +33,7 @@
     let _in_flight = InFlight::begin(&context.node);
     let answer = match body(payload).await {
         Ok(body) => take(&context, &http, body, &id).await,
-        Err(reason) => Answer::refusal(Outcome::NotRun, reason, Duration::from_hours(1)),
+        Err(reason) => Answer::refusal(Outcome::NotRun, reason, Duration::ZERO),
     };
     let (outcome, reason) = (answer.outcome, answer.reason);
     metrics::counter!("requests_total", "outcome" => outcome.to_string(), "reason" => reason.to_string())
--- a/crates/entry/src/steering/route.rs
+++ b/crates/entry/src/steering/route.rs
@@ -58,7 +58,7 @@
         if site.wait_ms <= patience_ms {
             let answer = ask_site(context, request, &trace).await;
             if !answer.try_elsewhere() || node.now() >= request.deadline {
-                return answer;
+                return later(last.as_ref(), answer);
             }
             trace.reason = Some(answer.reason);
             last = Some(later(last.as_ref(), answer));
--- a/crates/rig/tests/answers.rs
+++ b/crates/rig/tests/answers.rs
@@ -188,3 +188,21 @@
     assert!(ran <= 2, "{ran}");
     assert_eq!(told.last(), Some(&Status::NotRun), "{told:?}");
 }
+
+/// A time to come back belongs only to what may succeed later.
+#[actix_rt::test]
+async fn request_that_can_never_be_served_gets_no_time_to_come_back() {
+    let rig = Rig::start(Options::default()).await.unwrap();
+    let unknown = Plan {
+        path: "/nothing/7".to_owned(),
+        ..lookup_bib()
+    };
+
+    let record = rig
+        .caller(0)
+        .send_to(&rig.places[0].url(), &unknown, "token", 0)
+        .await;
+
+    assert_eq!(record.reason, "unknown-operation");
+    assert_eq!(record.retry_after_ms, 0, "{record:?}");
+}
