--- a/crates/catalog/src/records.rs
+++ b/crates/catalog/src/records.rs
@@ -68,9 +68,10 @@
     /// What another VM, which knows all changes up to a version, has missed.
     ///
     /// A VM that read a table whole never heard of what was deleted before; to one that is
-    /// further behind than that it gives all rows. `well` says whether the giver hears the store.
+    /// further behind than that it gives all rows. Whether it hears the store is for the
+    /// caller to add.
     #[must_use]
-    pub fn batch(&self, after: u64, tables: &[String], well: bool) -> Batch {
+    pub fn batch(&self, after: u64, tables: &[String]) -> Batch {
         let bases = tables.iter().map(|table| self.base.get(table).copied());
         let base = bases.collect::<Option<Vec<u64>>>();
         let base = base.and_then(|bases| bases.into_iter().max());
@@ -79,7 +80,8 @@
             records: self.since(if whole { 0 } else { after }),
             version: self.complete_all(tables),
             whole,
-            well,
+            well: false,
+            settled: false,
         }
     }
 
--- a/crates/catalog/tests/records.rs
+++ b/crates/catalog/tests/records.rs
@@ -61,8 +61,8 @@
 fn vm_that_is_behind_a_first_reading_gets_all_rows() {
     let records = known(&[record("a", 1, Some("x")), record("b", 8, Some("x"))], 10);
 
-    let behind = records.batch(5, &tables(), true);
-    let close = records.batch(10, &tables(), true);
+    let behind = records.batch(5, &tables());
+    let close = records.batch(10, &tables());
 
     assert!(behind.whole);
     assert_eq!(keys(&behind.records), [("a", 1), ("b", 8)]);
@@ -76,7 +76,7 @@
     records.take(&record("a", 6, None));
     records.set_complete("t", 6);
 
-    let batch = records.batch(3, &tables(), true);
+    let batch = records.batch(3, &tables());
 
     assert!(!batch.whole);
     assert_eq!(batch.version, 6);
@@ -85,7 +85,7 @@
 
 #[test]
 fn vm_that_knows_nothing_yet_claims_nothing() {
-    let batch = Records::default().batch(0, &tables(), true);
+    let batch = Records::default().batch(0, &tables());
 
     assert_eq!((batch.version, batch.whole), (0, false));
 }
--- a/crates/gateway/src/launch.rs
+++ b/crates/gateway/src/launch.rs
@@ -151,6 +151,10 @@
     loop {
         tokio::time::sleep(LOAD_PERIOD).await;
         node.follow_load();
+        let expired = node.catalog.borrow_mut().expire(node.now());
+        for id in expired {
+            log::info!(event = "target_gone", target = id.as_str(), reason = "lapsed"; "target did not come back");
+        }
     }
 }
 
@@ -159,10 +163,6 @@
     loop {
         tokio::time::sleep(SWEEP).await;
         node.client.sweep();
-        let expired = node.catalog.borrow_mut().expire(node.now());
-        for id in expired {
-            log::info!(event = "target_gone", target = id.as_str(), reason = "lapsed"; "target did not come back");
-        }
     }
 }
 
--- a/crates/gateway/src/node/changes.rs
+++ b/crates/gateway/src/node/changes.rs
@@ -7,9 +7,6 @@
     std::{rc::Rc, time::Duration},
 };
 
-/// Deletions this soon after the store was away may be followed by a new entry.
-const LAPSE_SPAN: Duration = Duration::from_millis(2500);
-
 impl Node {
     /// Puts a configuration in force whole, or keeps the one in force.
     pub(crate) fn put_routes(&self, document: Document, row: u64) {
@@ -51,8 +48,8 @@
     }
 
     /// Takes the end of a target's entry.
-    pub(crate) fn remove_target(&self, id: &str, row: u64, reason: &str, now: Duration) {
-        let lapsed = reason == "deleted" && self.store_was_away(LAPSE_SPAN);
+    pub(crate) fn remove_target(&self, id: &str, row: u64, reason: &str, lapsed: bool) {
+        let now = self.now();
         if self.catalog.borrow_mut().remove(id, row, lapsed, now) {
             log::info!(event = "target_gone", target = id, row = row, reason = reason, held = lapsed; "target's entry is gone");
         }
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -18,6 +18,8 @@
 
 /// A suspected VM is given up after this time.
 const GONE_AFTER: Duration = Duration::from_millis(1500);
+/// Targets write their entries anew within about two seconds of the store's return.
+const SETTLED_AFTER: Duration = Duration::from_millis(2500);
 const FORGET_AFTER: Duration = Duration::from_mins(2);
 
 /// One VM.
@@ -220,13 +222,14 @@
         feeds.values().all(|feed| feed.failing_since.is_none())
     }
 
-    /// Whether the store was away until just now, or still is.
-    pub(crate) fn store_was_away(&self, within: Duration) -> bool {
+    /// Whether the store has answered this VM for a while: targets that could not renew
+    /// their entries while it was away have had time to do so.
+    pub(crate) fn store_is_settled(&self) -> bool {
         let now = self.now();
         let feeds = self.feeds.borrow();
-        feeds.values().any(|feed| {
-            let lately = |at: Duration| now.saturating_sub(at) < within;
-            feed.failing_since.is_some() || feed.recovered_at.is_some_and(lately)
+        feeds.values().all(|feed| {
+            let lately = |at: Duration| now.saturating_sub(at) < SETTLED_AFTER;
+            feed.failing_since.is_none() && !feed.recovered_at.is_some_and(lately)
         })
     }
 
--- a/crates/gateway/src/peers/load.rs
+++ b/crates/gateway/src/peers/load.rs
@@ -7,9 +7,12 @@
     wire::{Datagram, Load, Map, Signal, Status},
 };
 
-const PERIOD: Duration = Duration::from_millis(40);
+const MIN_PERIOD: Duration = Duration::from_millis(40);
+/// Each further VM of the zone makes the period longer by this, so that what a VM sends and
+/// gets does not grow with them.
+const PERIOD_PER_VM: Duration = Duration::from_millis(20);
 /// A report that was not renewed no longer holds.
-const EXPIRES: Duration = Duration::from_millis(400);
+const EXPIRES: Duration = Duration::from_millis(600);
 /// Reports are repeated at this pace when nothing changes.
 const REPEAT: Duration = Duration::from_millis(200);
 
@@ -25,7 +28,9 @@
     let mut told: Vec<Load> = Vec::new();
     let mut told_at = Duration::ZERO;
     loop {
-        tokio::time::sleep(PERIOD).await;
+        let vms = u32::try_from(zone_peers(&node).len()).unwrap_or(u32::MAX);
+        let period = (PERIOD_PER_VM * vms).max(MIN_PERIOD);
+        tokio::time::sleep(period).await;
         let now = node.now();
         expire(&node, now);
         let peers = zone_peers(&node);
--- a/crates/gateway/src/peers/records.rs
+++ b/crates/gateway/src/peers/records.rs
@@ -6,6 +6,7 @@
     http_body_util::Full,
     hyper::{Request, StatusCode, body::Incoming},
     std::{rc::Rc, time::Duration},
+    wire::Batch,
 };
 
 /// Rows that changed after the version in the query; waits for some if asked to.
@@ -28,7 +29,11 @@
 
 fn answer(node: &Rc<Node>, after: u64) -> Answer {
     let well = node.store_is_well() && store::follows_store(node);
-    let batch = node.records().batch(after, &node.store.tables, well);
+    let batch = Batch {
+        well,
+        settled: node.store_is_settled(),
+        ..node.records().batch(after, &node.store.tables)
+    };
     match wire::encode(&batch) {
         Ok(bytes) => Answer::new(Full::new(Bytes::from(bytes))),
         Err(error) => {
--- a/crates/gateway/src/store/feed.rs
+++ b/crates/gateway/src/store/feed.rs
@@ -55,8 +55,9 @@
 async fn read(node: &Rc<Node>, table: &str) -> Result<(), StoreError> {
     let page = (node.store.read)(table.to_owned()).await?;
     let missing = node.records().missing(table, &page.records, page.version);
-    apply(node, &page.records);
-    apply(node, &missing);
+    let lapsed = !node.store_is_settled();
+    apply(node, &page.records, lapsed);
+    apply(node, &missing, lapsed);
     node.completed(table, page.version);
     Ok(())
 }
@@ -64,7 +65,7 @@
 async fn next(node: &Rc<Node>, table: &str) -> Result<(), StoreError> {
     let after = node.records().complete(table).unwrap_or(0);
     let page: Page = (node.store.follow)(table.to_owned(), after, WAIT).await?;
-    apply(node, &page.records);
+    apply(node, &page.records, !node.store_is_settled());
     node.completed(table, page.version);
     if !page.records.is_empty() {
         tokio::time::sleep(GATHER).await;
@@ -73,12 +74,15 @@
 }
 
 /// Puts rows into effect that are newer than what is known, whoever brought them.
-pub(crate) fn apply(node: &Rc<Node>, records: &[Record]) {
+///
+/// `lapsed` says that deletions may be followed by new entries of targets that could not
+/// renew them while the store was away.
+pub(crate) fn apply(node: &Rc<Node>, records: &[Record], lapsed: bool) {
     let mut changed = false;
     for record in records {
         let is_news = node.records().take(record);
         if is_news {
-            put(node, record);
+            put(node, record, lapsed);
             changed = true;
         }
     }
@@ -87,15 +91,15 @@
     }
 }
 
-fn put(node: &Rc<Node>, record: &Record) {
+fn put(node: &Rc<Node>, record: &Record, lapsed: bool) {
     let version = record.version;
     let now = node.now();
     match (node.store.decode)(record) {
         Change::Routes(document) => node.put_routes(document, version),
         Change::Target(target) => node.put_target(target, version, now),
-        Change::TargetGone(id) => node.remove_target(&id, version, "deleted", now),
+        Change::TargetGone(id) => node.remove_target(&id, version, "deleted", lapsed),
         Change::TargetUnreadable { id, reason } => {
-            node.remove_target(&id, version, &reason, now);
+            node.remove_target(&id, version, &reason, false);
         }
         Change::Evacuation { zone, active } => node.put_evacuation(&zone, active, version, now),
         Change::Unused { reason } => {
--- a/crates/gateway/src/store/pull.rs
+++ b/crates/gateway/src/store/pull.rs
@@ -55,11 +55,12 @@
     if batch.version == 0 {
         return;
     }
-    apply(node, &batch.records);
+    let lapsed = !batch.settled && !node.store_is_settled();
+    apply(node, &batch.records, lapsed);
     for table in &node.store.tables {
         if batch.whole {
             let missing = node.records().missing(table, &batch.records, batch.version);
-            apply(node, &missing);
+            apply(node, &missing, lapsed);
         }
         node.completed(table, batch.version);
     }
--- a/crates/gateway/src/store/register.rs
+++ b/crates/gateway/src/store/register.rs
@@ -30,6 +30,9 @@
 }
 
 /// Registers this VM unless a former incarnation did so, and reads who else is there.
+///
+/// Of two VMs that start together the one that registers last reads the other's row, as it
+/// reads once more after its own is written.
 async fn enter(node: &Rc<Node>) -> Result<(), StoreError> {
     let own = node.listed();
     let before = (node.store.list)().await?;
@@ -37,7 +40,10 @@
     if before.contains(&own) {
         return Ok(());
     }
-    (node.store.register)(own).await
+    (node.store.register)(own).await?;
+    let after = (node.store.list)().await?;
+    introduce(node, &after);
+    Ok(())
 }
 
 fn introduce(node: &Rc<Node>, listed: &[Listed]) {
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -9,6 +9,8 @@
 pub struct Batch {
     #[doc = "In the order of their versions."]
     pub records: ::std::vec::Vec<Record>,
+    #[doc = "Whether the store has answered the sender for a while: a deletion is then no lapse that an outage brought about."]
+    pub settled: bool,
     #[doc = "Version up to which the sender knows all changes."]
     pub version: u64,
     #[doc = "Whether the sender hears changes from the store itself."]
--- a/crates/wire/tests/records.rs
+++ b/crates/wire/tests/records.rs
@@ -30,6 +30,7 @@
         version: 9,
         whole: true,
         well: false,
+        settled: true,
     };
 
     let read: Batch = decode(&encode(&batch)?)?;
