Move more of what can move where little can

Change: the moved part is the excess over the part of the work that can move. Test: balance board work_that_can_move_leaves_for_work_that_cannot.

--- a/crates/balance/src/board.rs
+++ b/crates/balance/src/board.rs
@@ -127,11 +127,17 @@
     times: Map<String, Times>,
     shifts: Map<String, Shift>,
     offers: Map<String, Offer>,
+    /// Routes, and whether another region could answer them in time.
+    movable: Map<String, bool>,
 }
 
 impl Board {
     /// Decides where a request goes.
     pub fn choose(&mut self, wish: &Wish<'_>, places: &[Place<'_>], now: Duration) -> Decision {
+        let movable = self.far_in_time(wish, places);
+        if self.movable.get(wish.route) != Some(&movable) {
+            self.movable.insert(wish.route.to_owned(), movable);
+        }
         let candidates = self.candidates(wish, places, now);
         let times = self.times(wish.route, wish.objective);
         let ask = Ask {
@@ -170,9 +176,11 @@
         let cold_s = self
             .times(wish.route, wish.objective)
             .expect(Belief::Unknown);
+        let run_s = self.times(wish.route, wish.objective).expect(Belief::Known);
+        let movable = self.movable.get(wish.route).copied().unwrap_or(true);
         let offer = self.offers.entry(wish.service.to_owned());
         let offer = offer.or_insert_with(|| Offer::new(cold_s, now));
-        offer.arrived(now);
+        offer.arrived(run_s, movable, now);
         self.urgency.note(wish.service, wish.turn.priority);
     }
 
@@ -210,6 +218,7 @@
         let offer = self.offers.get(service);
         let measured = offer.filter(|offer| offer.is_measured(now));
         let own = measured.map(|offer| offer.slots(now));
+        let movable = measured.map_or(1.0, Offer::movable);
         let share = if zone > 0.0 {
             to_f64(scene.zone_vms) / zone
         } else {
@@ -218,7 +227,7 @@
         let shift = self.shifts.entry(service.to_owned());
         let shift = shift.or_insert_with(|| Shift::new(region / all, scene.regions, now));
         if let Some(own) = own {
-            shift.update(own * share, scene.max_shift, now);
+            shift.update(own * share, movable, scene.max_shift, now);
         }
     }
 
--- a/crates/balance/src/shift.rs
+++ b/crates/balance/src/shift.rs
@@ -9,6 +9,8 @@
 const WINDOW_S: f64 = 2.0;
 /// Load of all targets that is assumed before there is a measurement.
 const ASSUMED: f64 = 0.75;
+/// A smaller part of movable work is taken for this one.
+const LEAST_MOVABLE: f64 = 0.05;
 /// Longest step of time that is taken at once.
 const MAX_STEP_S: f64 = 0.25;
 /// Requests a second below which nothing is concluded.
@@ -26,6 +28,10 @@
     at: Duration,
     /// Mean time for which a request fills a slot of a target near this VM.
     run_s: f64,
+    /// Part of the work that another region could do in time.
+    movable: f64,
+    /// Mean running time of a request, by which that part is weighed.
+    weight_s: f64,
 }
 
 impl Offer {
@@ -36,11 +42,18 @@
             rate: 0.0,
             at: now,
             run_s,
+            movable: 1.0,
+            weight_s: run_s,
         }
     }
 
-    /// Notes a request.
-    pub fn arrived(&mut self, now: Duration) {
+    /// Notes a request, the time that it usually runs, and whether another region could
+    /// answer it in time.
+    pub fn arrived(&mut self, run_s: f64, movable: bool, now: Duration) {
+        self.weight_s += RUN_STEP * (run_s - self.weight_s);
+        let sample = if movable { 1.0 } else { 0.0 };
+        let step = RUN_STEP * run_s / self.weight_s.max(run_s).max(f64::MIN_POSITIVE);
+        self.movable += step * (sample - self.movable);
         self.rate = self.rate(now) + 1.0 / AVERAGE_S;
         self.at = now;
     }
@@ -50,6 +63,12 @@
         self.run_s += RUN_STEP * (run_s - self.run_s);
     }
 
+    /// Part of the work that another region could do in time.
+    #[must_use]
+    pub fn movable(&self) -> f64 {
+        self.movable
+    }
+
     /// Slots that the requests of late fill, or would fill.
     #[must_use]
     pub fn slots(&self, now: Duration) -> f64 {
@@ -88,12 +107,15 @@
     }
 
     /// Takes the load that callers offer to the zone's own targets, as a part of their
-    /// slots; `max_shift` bounds the change in a window.
-    pub fn update(&mut self, load: f64, max_shift: f64, now: Duration) {
+    /// slots, and the part of it that can move; `max_shift` bounds the change in a window.
+    ///
+    /// Where little can move, more of that has to.
+    pub fn update(&mut self, load: f64, movable: f64, max_shift: f64, now: Duration) {
         let step = now.saturating_sub(self.at).as_secs_f64().min(MAX_STEP_S);
         self.at = now;
         let pace = max_shift * PACE / WINDOW_S * step;
-        let change = excess(load) - self.part;
+        let wanted = (excess(load) / movable.max(LEAST_MOVABLE)).min(1.0);
+        let change = wanted - self.part;
         self.part += change.clamp(-pace, pace);
     }
 
--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -1,7 +1,7 @@
 //! Where work goes: load patterns against the pure decisions.
 
 use {
-    balance::{Belief, Board, Decision, Distance, Place, Scene, Sent, Turn, Wish},
+    balance::{Belief, Board, Decision, Distance, Offer, Place, Scene, Sent, Shift, Turn, Wish},
     catalog::{State, Target},
     std::{net::SocketAddr, time::Duration},
 };
@@ -303,3 +303,28 @@
     assert_eq!(first, (Duration::ZERO, false));
     assert!(again.0 > Duration::from_millis(690) && again.1, "{again:?}");
 }
+
+/// Pattern: a crowded zone whose urgent work no other region could do in time. What can
+/// move leaves in its stead.
+#[test]
+fn work_that_can_move_leaves_for_work_that_cannot() {
+    const MOVABLE_S: f64 = 0.2;
+    let mut all = Offer::new(MOVABLE_S, NOW);
+    let mut half = Offer::new(MOVABLE_S, NOW);
+    for number in 0..400 {
+        all.arrived(MOVABLE_S, true, NOW);
+        half.arrived(MOVABLE_S, number % 2 == 0, NOW);
+    }
+    let mut parts = Vec::new();
+    for offer in [all, half] {
+        let mut shift = Shift::new(1.0, 1, NOW);
+        for step in 0..200 {
+            let now = NOW + Duration::from_millis(100) * step;
+            shift.update(1.0, offer.movable(), 0.15, now);
+        }
+        parts.push(shift.part());
+    }
+
+    assert!((parts[0] - 0.25).abs() < 0.01, "{parts:?}");
+    assert!((parts[1] - 0.5).abs() < 0.05, "{parts:?}");
+}
