Keep load reports inside the traffic that a VM may use, whatever its zone

Cause: at the design size a zone has 87 VMs; reports to each of them every 40 ms would be 2,150 datagrams a second each way, far over 15 KB/s.

--- a/crates/gateway/src/peers/load.rs
+++ b/crates/gateway/src/peers/load.rs
@@ -3,14 +3,13 @@
 use {
     super::socket::{Socket, address, datagram},
     crate::Node,
+    balance::report_pause,
     std::{net::SocketAddr, rc::Rc, time::Duration},
     wire::{Datagram, Load, Map, Signal, Status},
 };
 
-const MIN_PERIOD: Duration = Duration::from_millis(40);
-/// Each further VM of the zone makes the period longer by this, so that what a VM sends and
-/// gets does not grow with them.
-const PERIOD_PER_VM: Duration = Duration::from_millis(20);
+/// Pause between two looks at whether there is somebody to report to.
+const STAND_BY: Duration = Duration::from_millis(500);
 /// A report that was not renewed no longer holds.
 const EXPIRES: Duration = Duration::from_millis(600);
 /// Reports are repeated at this pace when nothing changes.
@@ -28,15 +27,15 @@
     let mut told: Vec<Load> = Vec::new();
     let mut told_at = Duration::ZERO;
     loop {
-        let vms = u32::try_from(zone_peers(&node).len()).unwrap_or(u32::MAX);
-        let period = (PERIOD_PER_VM * vms).max(MIN_PERIOD);
-        tokio::time::sleep(period).await;
-        let now = node.now();
-        expire(&node, now);
         let peers = zone_peers(&node);
-        if peers.is_empty() {
+        let Some(pause) = report_pause(peers.len()) else {
+            tokio::time::sleep(STAND_BY).await;
+            expire(&node, node.now());
             continue;
-        }
+        };
+        tokio::time::sleep(pause).await;
+        let now = node.now();
+        expire(&node, now);
         let loads = own_loads(&node);
         if loads == told && now.saturating_sub(told_at) < REPEAT {
             continue;
