Bound what bodies and callers may take, and leave the list when stopped

Cause, found in reading: a body in chunks states no length, so four of 64 MB would have passed the check of memory and ended the process; limits of the configuration for heads and idle connections were constants; VMs that are replaced stayed on the list for good; idle connections of 520 VMs to a target would exceed what it takes. Fields that nothing read are gone.

Change: each piece of a body is counted as it comes; limits are asked for at each connection; a stopped VM removes its row, and writes it again if a late removal took it; idle connections to a target leave half of its limit free. Twins in the tests are one.

--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -59,6 +59,17 @@
     }
 }
 
+/// A target that was full, with one slot free again and one request that waits for it.
+fn one_free_slot(places: &[Place<'_>], waiting: Turn) -> Board {
+    let mut board = Board::default();
+    let sent: Vec<Sent> = (0..4)
+        .filter_map(|n| send(&mut board, &wish("1", 2, n), places))
+        .collect();
+    board.queues.enter("a", waiting);
+    board.end(&sent[0]);
+    board
+}
+
 /// Pattern: the same objects come again and again while there is room.
 #[test]
 fn object_stays_with_its_target() {
@@ -121,19 +132,12 @@
 fn urgent_work_goes_before_what_waits() {
     let only = target("a", "z");
     let places = [place(&only, Distance::Zone)];
-    let mut board = Board::default();
-    let sent: Vec<Sent> = (0..4)
-        .filter_map(|n| send(&mut board, &wish("1", 2, n), &places))
-        .collect();
-    board.queues.enter(
-        "a",
-        Turn {
-            priority: 2,
-            late: false,
-            number: 5,
-        },
-    );
-    board.end(&sent[0]);
+    let waiting = Turn {
+        priority: 2,
+        late: false,
+        number: 5,
+    };
+    let mut board = one_free_slot(&places, waiting);
 
     let later = board.choose(&wish("1", 2, 6), &places, NOW);
     let urgent = board.choose(&wish("1", 0, 7), &places, NOW);
@@ -273,19 +277,12 @@
 fn caller_who_can_be_in_time_goes_before_one_who_came_back() {
     let only = target("a", "z");
     let places = [place(&only, Distance::Zone)];
-    let mut board = Board::default();
-    let sent: Vec<Sent> = (0..4)
-        .filter_map(|n| send(&mut board, &wish("1", 2, n), &places))
-        .collect();
-    board.queues.enter(
-        "a",
-        Turn {
-            priority: 2,
-            late: true,
-            number: 5,
-        },
-    );
-    board.end(&sent[0]);
+    let waiting = Turn {
+        priority: 2,
+        late: true,
+        number: 5,
+    };
+    let mut board = one_free_slot(&places, waiting);
 
     let fresh = board.choose(&wish("1", 2, 6), &places, NOW);
 
--- a/crates/gateway/src/exchange/client.rs
+++ b/crates/gateway/src/exchange/client.rs
@@ -2,7 +2,11 @@
 
 use {
     super::connection::Connection,
-    std::{cell::RefCell, net::SocketAddr, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        time::Duration,
+    },
     tokio::time::Instant,
     wire::Map,
 };
@@ -17,6 +21,7 @@
 pub struct Client {
     idle: RefCell<Map<SocketAddr, Vec<Connection>>>,
     round_trips: RefCell<Map<SocketAddr, Duration>>,
+    idle_limit: Cell<Option<usize>>,
 }
 
 impl Client {
@@ -39,11 +44,17 @@
         let mut idle = self.idle.borrow_mut();
         let kept = idle.entry(address).or_default();
         kept.retain(Connection::is_usable);
-        if kept.len() < MAX_IDLE {
+        if kept.len() < self.idle_limit.get().unwrap_or(MAX_IDLE) {
             kept.push(connection);
         }
     }
 
+    /// Bounds the idle connections to an address, so that all VMs together leave room for
+    /// new ones.
+    pub(crate) fn set_idle_limit(&self, limit: usize) {
+        self.idle_limit.set(Some(limit.clamp(1, MAX_IDLE)));
+    }
+
     /// Notes how long it took to make a connection.
     pub(crate) fn note_round_trip(&self, address: SocketAddr, took: Duration) {
         let mut known = self.round_trips.borrow_mut();
--- a/crates/gateway/src/front/body.rs
+++ b/crates/gateway/src/front/body.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::Node,
-    bytes::Bytes,
-    http_body_util::{BodyExt, LengthLimitError, Limited},
+    bytes::{Bytes, BytesMut},
+    http_body_util::BodyExt,
     hyper::body::{Body, Incoming},
     std::{rc::Rc, time::Duration},
 };
@@ -24,18 +24,33 @@
     NoMemory,
 }
 
-/// A body, counted against the memory for bodies until it is dropped.
+/// A body, counted against the memory for bodies from its first byte until it is dropped.
 pub(crate) struct Content {
     pub(crate) bytes: Bytes,
+    _held: Held,
+}
+
+struct Held {
     node: Rc<Node>,
+    bytes: usize,
+}
+
+impl Held {
+    fn add(&mut self, bytes: usize) -> Result<(), BodyError> {
+        let all = self.node.buffered.get() + bytes;
+        if all > self.node.settings.memory_bytes / MEMORY_PART {
+            return Err(BodyError::NoMemory);
+        }
+        self.node.buffered.set(all);
+        self.bytes += bytes;
+        Ok(())
+    }
 }
 
-impl Drop for Content {
+impl Drop for Held {
     fn drop(&mut self) {
         let held = self.node.buffered.get();
-        self.node
-            .buffered
-            .set(held.saturating_sub(self.bytes.len()));
+        self.node.buffered.set(held.saturating_sub(self.bytes));
     }
 }
 
@@ -50,19 +65,31 @@
     if stated > most {
         return Err(BodyError::TooLong);
     }
-    if node.buffered.get() + stated > node.settings.memory_bytes / MEMORY_PART {
-        return Err(BodyError::NoMemory);
-    }
-    let whole = Limited::new(body, most).collect();
-    let bytes = match tokio::time::timeout_at(node.clock.at(until), whole).await {
-        Err(_) => return Err(BodyError::TimedOut),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(BodyError::TooLong),
-        Ok(Err(_)) => return Err(BodyError::Broken),
-        Ok(Ok(whole)) => whole.to_bytes(),
+    let whole = collect(node, body, most);
+    let whole = tokio::time::timeout_at(node.clock.at(until), whole).await;
+    whole.unwrap_or(Err(BodyError::TimedOut))
+}
+
+/// Counts each piece as it arrives: a body in chunks does not say how long it will be.
+async fn collect(node: &Rc<Node>, mut body: Incoming, most: usize) -> Result<Content, BodyError> {
+    let mut held = Held {
+        node: node.clone(),
+        bytes: 0,
     };
-    node.buffered.set(node.buffered.get() + bytes.len());
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BodyError::Broken)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if whole.len() + data.len() > most {
+            return Err(BodyError::TooLong);
+        }
+        held.add(data.len())?;
+        whole.extend_from_slice(&data);
+    }
     Ok(Content {
-        bytes,
-        node: node.clone(),
+        bytes: whole.freeze(),
+        _held: held,
     })
 }
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -5,6 +5,7 @@
     crate::{GatewayError, exchange::tune},
     hyper::{Request, body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
+    route::Limits,
     std::{
         cell::Cell, convert::Infallible, future::Future, net::SocketAddr, rc::Rc, time::Duration,
     },
@@ -15,6 +16,8 @@
 };
 
 const BACKLOG: u32 = 1024;
+/// The HTTP library takes no smaller buffer.
+const MIN_BUFFER: usize = 8192;
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 /// How connections are served.
@@ -22,10 +25,8 @@
 pub struct Server {
     /// Where to listen.
     pub address: SocketAddr,
-    /// Longest time between two requests of a connection.
-    pub idle: Duration,
-    /// Most bytes of a request's head.
-    pub header_bytes: usize,
+    /// Bounds on what is sent, asked for at each connection.
+    pub limits: Rc<dyn Fn() -> Limits>,
     /// Most connections at a time.
     pub connections: usize,
     /// Holds the time of the stop once there is one; answers then close their connection.
@@ -107,10 +108,11 @@
         async move { Ok::<_, Infallible>(answer.await) }
     });
     let leaving = server.leaving.borrow().is_some();
+    let limits = (server.limits)();
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(server.idle)
-        .max_buf_size(server.header_bytes.max(8192))
+        .header_read_timeout(limits.idle_timeout)
+        .max_buf_size(limits.header_bytes.max(MIN_BUFFER))
         .keep_alive(!leaving)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
--- a/crates/gateway/src/launch.rs
+++ b/crates/gateway/src/launch.rs
@@ -21,8 +21,6 @@
 const LEAVE_FOR: Duration = Duration::from_secs(3);
 /// The process ends this much before it would be killed.
 const GRACE_MARGIN: Duration = Duration::from_millis(200);
-const IDLE: Duration = Duration::from_secs(15);
-const HEADER_BYTES: usize = 16 * 1024;
 /// Part of the descriptors that callers' connections may take.
 const CALLER_PART: (usize, usize) = (3, 5);
 const INNER_CONNECTIONS: usize = 128;
@@ -113,11 +111,11 @@
 impl Node {
     /// How connections at an address are served.
     #[must_use]
-    pub fn server(&self, address: std::net::SocketAddr, connections: usize) -> Server {
+    pub fn server(self: &Rc<Self>, address: std::net::SocketAddr, connections: usize) -> Server {
+        let node = self.clone();
         Server {
             address,
-            idle: IDLE,
-            header_bytes: HEADER_BYTES,
+            limits: Rc::new(move || node.table().limits().clone()),
             connections,
             leaving: self.watch_leaving(),
         }
@@ -180,6 +178,7 @@
 async fn leave(node: &Rc<Node>) {
     node.leave();
     peers::broadcast(node);
+    tokio::task::spawn_local(store::unregister(node.clone()));
     log::info!(event = "leaving", vm = node.settings.name.as_str(), in_flight = node.in_flight.get(); "leaving");
     let since = node.now();
     let end = since + node.bounds().grace.saturating_sub(GRACE_MARGIN);
--- a/crates/gateway/src/names.rs
+++ b/crates/gateway/src/names.rs
@@ -17,8 +17,6 @@
     pub not_run: HeaderName,
     /// Load of a target: running, waiting and slots.
     pub load: HeaderName,
-    /// Time for which a target stays cold.
-    pub warmup_ms: HeaderName,
     /// Cookie that names the object of a request.
     pub object_cookie: String,
 }
--- a/crates/gateway/src/node/work.rs
+++ b/crates/gateway/src/node/work.rs
@@ -179,6 +179,7 @@
         let now = self.now();
         let catalog = self.catalog.borrow();
         let scene = self.scene();
+        self.share_connections();
         for service in self.table().services() {
             let targets = catalog.usable(&service.name);
             let places: Vec<Place<'_>> = targets.map(|target| self.plain_place(target)).collect();
@@ -187,6 +188,18 @@
         }
     }
 
+    /// Leaves half of a target's connections to requests under way.
+    fn share_connections(&self) {
+        let table = self.table();
+        let least = table
+            .services()
+            .map(|service| service.max_connections)
+            .min();
+        let least = usize::try_from(least.unwrap_or(u32::MAX)).unwrap_or(usize::MAX);
+        let vms = self.view().serving().len().max(1);
+        self.client.set_idle_limit(least / 2 / vms);
+    }
+
     /// Where this VM stands among the others.
     fn scene(&self) -> Scene {
         let regions: HashSet<&String> = self.settings.regions.values().collect();
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -10,4 +10,4 @@
 pub(crate) use feed::{apply, follow};
 pub use port::{Change, Decode, Follow, List, Listed, Page, Pending, Read, Register, Store};
 pub(crate) use pull::pull_loop;
-pub(crate) use register::register;
+pub(crate) use register::{register, unregister};
--- a/crates/gateway/src/store/register.rs
+++ b/crates/gateway/src/store/register.rs
@@ -21,7 +21,10 @@
         let alone = node.view().serving().len() < 2;
         tokio::time::sleep(if alone { ALONE_PAUSE } else { USUAL_PAUSE }).await;
         match (node.store.list)().await {
-            Ok(listed) => introduce(&node, &listed),
+            Ok(listed) => {
+                introduce(&node, &listed);
+                stay_registered(&node, &listed).await;
+            }
             Err(error) => {
                 log::warn!(event = "list_failed", reason:% = error; "the list of VMs is not to be had");
             }
@@ -46,6 +49,25 @@
     Ok(())
 }
 
+/// Writes the own row again if it is gone: a removal by a former incarnation whose answer
+/// was lost may have taken effect late.
+async fn stay_registered(node: &Rc<Node>, listed: &[Listed]) {
+    let own = node.listed();
+    if listed.contains(&own) || node.leaving_since().is_some() {
+        return;
+    }
+    if let Err(error) = (node.store.register)(own).await {
+        log::warn!(event = "register_failed", reason:% = error; "this VM is not registered");
+    }
+}
+
+/// Removes this VM from the list; one that starts again enters itself.
+pub(crate) async fn unregister(node: Rc<Node>) {
+    if let Err(error) = (node.store.unregister)(node.listed()).await {
+        log::warn!(event = "unregister_failed", reason:% = error; "this VM stays on the list");
+    }
+}
+
 fn introduce(node: &Rc<Node>, listed: &[Listed]) {
     for vm in listed {
         if vm.name != node.settings.name && !node.view().knows(&vm.name) {
--- a/crates/route/src/document.rs
+++ b/crates/route/src/document.rs
@@ -52,12 +52,8 @@
 pub struct Service {
     /// Name of the service.
     pub name: String,
-    /// Path of the health check.
-    pub health_path: String,
     /// Connections that a target takes from all VMs together.
     pub max_connections: u32,
-    /// Time for which a target is cold after its start.
-    pub warmup: Duration,
     /// Requests a second that a cold target bears.
     pub warmup_rate: f64,
 }
--- a/crates/route/tests/table.rs
+++ b/crates/route/tests/table.rs
@@ -31,9 +31,7 @@
 fn document(version: u64, routes: Vec<Route>) -> Document {
     let service = Service {
         name: "s".to_owned(),
-        health_path: "/health".to_owned(),
         max_connections: 10,
-        warmup: Duration::from_secs(3),
         warmup_rate: 3.0,
     };
     Document {
