--- a/crates/balance/src/board.rs
+++ b/crates/balance/src/board.rs
@@ -6,7 +6,7 @@
         Turn, Urgency, Verdict, Warmth, choose, weight,
     },
     catalog::Target,
-    std::{cmp::Reverse, time::Duration},
+    std::time::Duration,
     wire::Map,
 };
 
@@ -14,6 +14,8 @@
 /// does not stay empty for the time there and back.
 const FAR_EXTRA: f64 = 1.0;
 
+/// How much less an object prefers a target of another zone, of a weight between 0 and 1.
+const OTHER_ZONE: f64 = 0.15;
 /// Part of its slots up to which a target takes objects that it does not know: these run
 /// long and drive out what it knows, so they go only where there is room to spare.
 const STRANGER_PART: f64 = 0.5;
@@ -242,19 +244,18 @@
         let shift = self.shifts.get(wish.service);
         let in_time = self.far_in_time(wish, places);
         let moved = !has_near || in_time && shift.is_some_and(|shift| shift.moves(key));
-        let mut order: Vec<&Place<'a>> = places.iter().collect();
-        order.sort_by_key(|place| (place.distance, Reverse(weight(key, &place.target.id))));
+        let mut order: Vec<(f64, &Place<'a>)> = places
+            .iter()
+            .map(|place| (preference(key, place), place))
+            .collect();
+        order.sort_by(|a, b| b.0.total_cmp(&a.0));
         let mut out = Vec::with_capacity(places.len());
-        let mut rank = 0;
-        let mut before = None;
-        for place in order {
-            rank = if before == Some(place.distance) {
-                rank + 1
-            } else {
-                0
-            };
-            before = Some(place.distance);
-            let at_home = moved == (place.distance == Distance::Far);
+        let mut ranks = [0; 2];
+        for (_, place) in order {
+            let is_far = place.distance == Distance::Far;
+            let rank = ranks[usize::from(is_far)];
+            ranks[usize::from(is_far)] += 1;
+            let at_home = moved == is_far;
             // An object that is not moved leaves its region only when nothing is left there.
             if at_home || place.distance != Distance::Far {
                 out.push(self.candidate(wish, place, at_home, rank, now));
@@ -294,7 +295,7 @@
         let reserved = self
             .urgency
             .reserve(wish.service, wish.turn.priority, target.slots);
-        let first = rank == 0 && at_home && place.distance != Distance::Region;
+        let first = rank == 0 && at_home;
         let queued = to_f64(self.queues.ahead(&target.id, wish.turn));
         let belief = self.belief(wish, &target.id, first);
         let most = if belief == Belief::Unknown {
@@ -432,6 +433,19 @@
     }
 }
 
+/// How much an object prefers a target, the same on all VMs of a zone: mostly by rendezvous
+/// weight, so that the zones of a region share a target that knows the object.
+fn preference(key: &str, place: &Place<'_>) -> f64 {
+    #[allow(clippy::cast_precision_loss, reason = "only the high bits matter")]
+    let drawn = weight(key, &place.target.id) as f64 / u64::MAX as f64;
+    let other_zone = if place.distance == Distance::Region {
+        OTHER_ZONE
+    } else {
+        0.0
+    };
+    drawn - other_zone
+}
+
 fn sent(wish: &Wish<'_>, candidate: &Candidate<'_>, now: Duration) -> Sent {
     Sent {
         target: candidate.id.to_owned(),
--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -177,7 +177,7 @@
     let mut parts = candidate.trouble;
     if !candidate.at_home {
         parts += policy.leave_region;
-    } else if candidate.distance == Distance::Region {
+    } else if candidate.distance == Distance::Region && candidate.rank > 0 {
         parts += policy.leave_zone;
     }
     if ask.waited_s + expected > ask.objective_s {
