--- a/crates/balance/src/board.rs
+++ b/crates/balance/src/board.rs
@@ -15,7 +15,7 @@
 const FAR_EXTRA: f64 = 1.0;
 
 /// How much less an object prefers a target of another zone, of a weight between 0 and 1.
-const OTHER_ZONE: f64 = 0.15;
+const OTHER_ZONE: f64 = 0.0;
 /// Part of its slots up to which a target takes objects that it does not know: these run
 /// long and drive out what it knows, so they go only where there is room to spare.
 const STRANGER_PART: f64 = 0.5;
