Order an object's targets over all regions, and drop the control of the shift

Change: one order by rendezvous weight over all regions, another region's less 0.1; work that it could not do in time stays.

--- a/crates/gateway/src/launch.rs
+++ b/crates/gateway/src/launch.rs
@@ -13,7 +13,7 @@
 };
 
 const SWEEP: Duration = Duration::from_millis(500);
-const LOAD_PERIOD: Duration = Duration::from_millis(100);
+const EXPIRE_PERIOD: Duration = Duration::from_millis(100);
 /// Settings may change without a signal.
 const RELOAD_PERIOD: Duration = Duration::from_secs(1);
 const STOP_POLL: Duration = Duration::from_millis(20);
@@ -75,7 +75,7 @@
     }
     tokio::task::spawn_local(reload_loop(node.clone(), parts.reload, hangup));
     tokio::task::spawn_local(sweep(node.clone()));
-    tokio::task::spawn_local(follow_load(node.clone()));
+    tokio::task::spawn_local(expire(node.clone()));
 
     stop_signal().await?;
     leave(&node).await;
@@ -144,11 +144,10 @@
     }
 }
 
-/// Follows the load of the targets.
-async fn follow_load(node: Rc<Node>) {
+/// Puts lapses into effect when their time has come.
+async fn expire(node: Rc<Node>) {
     loop {
-        tokio::time::sleep(LOAD_PERIOD).await;
-        node.follow_load();
+        tokio::time::sleep(EXPIRE_PERIOD).await;
         let expired = node.catalog.borrow_mut().expire(node.now());
         for id in expired {
             log::info!(event = "target_gone", target = id.as_str(), reason = "lapsed"; "target did not come back");
@@ -161,6 +160,7 @@
     loop {
         tokio::time::sleep(SWEEP).await;
         node.client.sweep();
+        node.share_connections();
     }
 }
 
--- a/crates/gateway/src/node/work.rs
+++ b/crates/gateway/src/node/work.rs
@@ -2,11 +2,10 @@
 
 use {
     super::Node,
-    balance::{Decision, Distance, Place, Scene, Sent, Turn, Wish, sponsors},
+    balance::{Decision, Distance, Place, Sent, Turn, Wish, sponsors},
     catalog::{Catalog, Target},
     route::{Kind, Route},
-    std::{collections::HashSet, net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
-    wire::Member,
+    std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
 };
 
 /// Time there and back within a zone, to another zone of the region, and to another region.
@@ -174,22 +173,8 @@
         bound.is_some_and(|bound| board.ramp.fits(&target.id, bound, now))
     }
 
-    /// Follows the load of the targets near this VM, for all services.
-    pub(crate) fn follow_load(&self) {
-        let now = self.now();
-        let catalog = self.catalog.borrow();
-        let scene = self.scene();
-        self.share_connections();
-        for service in self.table().services() {
-            let targets = catalog.usable(&service.name);
-            let places: Vec<Place<'_>> = targets.map(|target| self.plain_place(target)).collect();
-            let mut board = self.board.borrow_mut();
-            board.follow_load(&service.name, &places, &scene, now);
-        }
-    }
-
     /// Leaves half of a target's connections to requests under way.
-    fn share_connections(&self) {
+    pub(crate) fn share_connections(&self) {
         let table = self.table();
         let least = table
             .services()
@@ -200,31 +185,6 @@
         self.client.set_idle_limit(least / 2 / vms);
     }
 
-    /// Where this VM stands among the others.
-    fn scene(&self) -> Scene {
-        let regions: HashSet<&String> = self.settings.regions.values().collect();
-        let view = self.view();
-        let serving = view.serving();
-        let here = |m: &&&Member| m.zone == self.settings.zone;
-        let near = |m: &&&Member| self.settings.region_of(&m.zone) == self.settings.region;
-        Scene {
-            zone_vms: serving.iter().filter(here).count().max(1),
-            region_vms: serving.iter().filter(near).count().max(1),
-            regions: regions.len(),
-            max_shift: self.bounds().max_shift,
-        }
-    }
-
-    fn plain_place<'a>(&self, target: &'a Target) -> Place<'a> {
-        let (distance, round_trip) = self.distance(target);
-        Place {
-            target,
-            distance,
-            round_trip,
-            cold: false,
-        }
-    }
-
     /// How far a target is, unless the request may not go there.
     fn place(&self, work: &Work, target: &Target) -> Option<(Distance, Duration)> {
         let region = self.settings.region_of(&target.zone);
@@ -281,8 +241,7 @@
 
     /// Notes a request that a caller sent.
     pub(crate) fn note_offered(&self, work: &Work) {
-        let now = self.now();
-        self.board.borrow_mut().offered(&work.wish(now), now);
+        self.board.borrow_mut().offered(&work.wish(self.now()));
     }
 
     /// Service for the next request of a route, by the weights of its parts.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -19,8 +19,6 @@
     pub warmup_factor: f64,
     /// Requests a second on top of that rate.
     pub warmup_slack: f64,
-    /// Largest part of a region's requests that may change region between two windows.
-    pub max_shift: f64,
 }
 
 /// A VM's name, place, addresses and bounds.
