Drop the load reports between VMs of a zone

Cause: with one home for an object in all regions, a target's work comes from all VMs; what the VMs of one zone tell each other no longer matters, and it was the larger part of the control traffic (and open at 87 VMs a zone).

--- a/crates/balance/src/board.rs
+++ b/crates/balance/src/board.rs
@@ -320,17 +320,6 @@
         gauge.is_some_and(|gauge| gauge.health.ejected(now))
     }
 
-    /// Takes what peers have at a target.
-    pub fn set_peers(&mut self, target: &str, running: u32) {
-        self.gauge(target).set_peers(running);
-    }
-
-    /// Requests of this VM at each target.
-    pub fn loads(&self) -> impl Iterator<Item = (&str, u32)> {
-        let busy = self.gauges.iter().filter(|(_, gauge)| gauge.own > 0);
-        busy.map(|(id, gauge)| (id.as_str(), gauge.own))
-    }
-
     /// Forgets what a target knew: it started anew.
     pub fn restarted(&mut self, target: &str) {
         self.warmth.forget(target);
--- a/crates/balance/src/gauge.rs
+++ b/crates/balance/src/gauge.rs
@@ -29,8 +29,6 @@
     pub health: Health,
     others: f64,
     others_at: Duration,
-    /// Requests of a peer in the same zone, which says so itself.
-    peers: f64,
     trouble: f64,
     trouble_at: Duration,
     slowness: f64,
@@ -43,7 +41,6 @@
             health: Health::default(),
             others: 0.0,
             others_at: Duration::ZERO,
-            peers: 0.0,
             trouble: 0.0,
             trouble_at: Duration::ZERO,
             slowness: 1.0,
@@ -59,17 +56,12 @@
         self.others_at = now;
     }
 
-    /// Takes what peers say that they have at the target.
-    pub fn set_peers(&mut self, running: u32) {
-        self.peers = f64::from(running);
-    }
-
     /// Requests at the target, of all VMs, as far as this VM can tell.
     #[must_use]
     pub fn in_flight(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.others_at).as_secs_f64();
         let others = self.others * (-age / REPORT_DECAY_S).exp();
-        f64::from(self.own) + others.max(self.peers)
+        f64::from(self.own) + others
     }
 
     /// Notes whether a request was turned away or spoilt by the target.
--- a/crates/gateway/src/launch.rs
+++ b/crates/gateway/src/launch.rs
@@ -65,8 +65,7 @@
     listen(&node, &collected)?;
     more(&node)?;
     tokio::task::spawn_local(peers::receive_loop(node.clone(), socket.clone()));
-    tokio::task::spawn_local(peers::probe_loop(node.clone(), socket.clone()));
-    tokio::task::spawn_local(peers::load_loop(node.clone(), socket));
+    tokio::task::spawn_local(peers::probe_loop(node.clone(), socket));
     tokio::task::spawn_local(store::register(node.clone()));
     tokio::task::spawn_local(store::pull_loop(node.clone()));
     tokio::task::spawn_local(store::attend(node.clone()));
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -42,7 +42,6 @@
     pub(crate) retries: RefCell<Map<String, Retries>>,
     pub(crate) quarantine: RefCell<Quarantine>,
     pub(crate) crashes: RefCell<Vec<(wire::Crash, u32)>>,
-    pub(crate) peer_loads: RefCell<Map<String, crate::peers::PeerLoad>>,
     /// Wakes requests that wait when a target has room.
     pub(crate) freed: Notify,
     pub(crate) turns: Cell<u64>,
@@ -87,7 +86,6 @@
             retries: RefCell::default(),
             quarantine: RefCell::default(),
             crashes: RefCell::default(),
-            peer_loads: RefCell::default(),
             freed: Notify::new(),
             turns: Cell::new(0),
             in_flight: Cell::new(0),
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -1,13 +1,11 @@
 //! What VMs tell each other.
 
 mod crash;
-mod load;
 mod prober;
 mod records;
 mod socket;
 
 pub(crate) use crash::suspect_crash;
-pub(crate) use load::{PeerLoad, load_loop};
 pub(crate) use prober::{broadcast, greet, probe_loop};
 pub(crate) use records::records;
 pub(crate) use socket::{Socket, receive_loop};
--- a/crates/gateway/src/peers/socket.rs
+++ b/crates/gateway/src/peers/socket.rs
@@ -1,7 +1,6 @@
 //! Datagrams between VMs.
 
 use {
-    super::load,
     crate::Node,
     std::{net::SocketAddr, rc::Rc},
     tokio::net::UdpSocket,
@@ -74,7 +73,6 @@
         about: about.to_owned(),
         news,
         crashes: crashes(node),
-        loads: Vec::new(),
     }
 }
 
@@ -130,7 +128,6 @@
             let helper = super::prober::help(node.clone(), socket.clone(), datagram, from);
             tokio::task::spawn_local(helper);
         }
-        Signal::Load => load::take(node, &datagram),
     }
 }
 
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -66,8 +66,6 @@
     #[doc = "Crash counts that rose lately."]
     pub crashes: ::std::vec::Vec<Crash>,
     pub from: Member,
-    #[doc = "Loads of the sender at targets."]
-    pub loads: ::std::vec::Vec<Load>,
     #[doc = "Records that changed lately."]
     pub news: ::std::vec::Vec<Member>,
     #[doc = "Repeated in the answer."]
@@ -203,15 +201,6 @@
         value.parse()
     }
 }
-#[doc = "Requests that a VM has at a target."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, Eq, Hash, PartialEq)]
-#[serde(deny_unknown_fields)]
-pub struct Load {
-    #[doc = "Requests without an answer so far."]
-    pub running: u32,
-    #[doc = "Identifier of the target."]
-    pub target: ::std::string::String,
-}
 #[doc = "Answer to a caller that asks which VM to use."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, Eq, Hash, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -570,8 +559,6 @@
     Ack,
     #[serde(rename = "ask")]
     Ask,
-    #[serde(rename = "load")]
-    Load,
 }
 impl ::std::fmt::Display for Signal {
     fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
@@ -579,7 +566,6 @@
             Self::Ping => f.write_str("ping"),
             Self::Ack => f.write_str("ack"),
             Self::Ask => f.write_str("ask"),
-            Self::Load => f.write_str("load"),
         }
     }
 }
@@ -590,7 +576,6 @@
             "ping" => Ok(Self::Ping),
             "ack" => Ok(Self::Ack),
             "ask" => Ok(Self::Ask),
-            "load" => Ok(Self::Load),
             _ => Err("invalid value".into()),
         }
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,8 +13,8 @@
 pub use errors::CodecError;
 pub use generated::{
     Batch, Change, Claim, Crash, Datagram, Decision, Document, Entry, Forward, Gossip, Header,
-    Kind, Load, Lookup, Mark, Member, Outcome, Phase, Poison, Pool, Proposal, Reason, Record,
-    Refusal, Reply, Signal, Status, Verdict,
+    Kind, Lookup, Mark, Member, Outcome, Phase, Poison, Pool, Proposal, Reason, Record, Refusal,
+    Reply, Signal, Status, Verdict,
 };
 
 /// Hash map with a fast hasher, used where no order is needed.
