Check that an answer with two lengths is never passed on

Found: not so in either order (2 then the whole length, and the reverse): the comparison of the stated length with the body's breaks both off. The test was not seen failing; the code is unchanged.

Change: the stand-in states two lengths, a test holds the property.

--- a/crates/rig/tests/answers.rs
+++ b/crates/rig/tests/answers.rs
@@ -206,3 +206,18 @@
     assert_eq!(record.reason, "unknown-operation");
     assert_eq!(record.retry_after_ms, 0, "{record:?}");
 }
+
+#[actix_rt::test]
+async fn answer_with_two_lengths_is_never_passed_on() {
+    let rig = Rig::start(Options::default()).await.unwrap();
+    rig.set_targets("payline", failing(Fault::TwoLengths))
+        .await
+        .unwrap();
+
+    let claimed = rig
+        .caller(0)
+        .send_to(&rig.places[0].url(), &refund(), &new_key(), 0)
+        .await;
+
+    assert_eq!(claimed.status, Status::MayHaveRun, "{claimed:?}");
+}
--- a/crates/stand/src/upstream/http.rs
+++ b/crates/stand/src/upstream/http.rs
@@ -88,7 +88,7 @@
     cut: Option<usize>,
 ) -> io::Result<()> {
     let head = format!(
-        "HTTP/1.1 {status} X\r\ncontent-length: {}\r\ncontent-type: application/json\r\n{extra}\r\n",
+        "HTTP/1.1 {status} X\r\n{extra}content-length: {}\r\ncontent-type: application/json\r\n\r\n",
         body.len()
     );
     let sent = cut.map_or(body, |cut| &body[..cut.min(body.len())]);
--- a/crates/stand/src/upstream/target.rs
+++ b/crates/stand/src/upstream/target.rs
@@ -37,6 +37,8 @@
     SilenceOpen,
     /// It breaks off in the middle of each answer.
     CutAnswers,
+    /// It states two lengths of each answer.
+    TwoLengths,
     /// It refuses every request as not run.
     Shed,
     /// It accepts no connection.
@@ -238,7 +240,11 @@
     }
     let body = body(target, request);
     let cut = (fault == Fault::CutAnswers).then_some(body.len() / 2);
-    let echo = format!("x-request-id: {}\r\n", request.id);
+    let second = match fault {
+        Fault::TwoLengths => "content-length: 2\r\n",
+        _ => "",
+    };
+    let echo = format!("x-request-id: {}\r\n{second}", request.id);
     http::write(stream, 200, &echo, &body, cut).await?;
     if cut.is_some() {
         return Err(io::Error::other("answer cut"));
