Do not take a broken answer for a crash of its target

Change: only a connection that ends before any answer counts as a crash. Test: rig answers request_whose_answers_are_cut_is_not_quarantined, seen failing (12 of 12 told quarantined).

--- a/crates/entry/src/upstream/exchange.rs
+++ b/crates/entry/src/upstream/exchange.rs
@@ -115,12 +115,13 @@
     }
     let declared = declared_length(response.headers());
     let headers = passed_on(response.headers());
+    // The target got as far as an answer, so the request did not crash it.
     let Ok(body) = response.body().limit(MAX_ANSWER_BYTES).await else {
-        return broke(Reason::UpstreamBroke, true);
+        return broke(Reason::UpstreamBroke, false);
     };
     let no_body = request.method == "HEAD";
     if !no_body && declared != Some(body.len()) {
-        return broke(Reason::UpstreamBroke, true);
+        return broke(Reason::UpstreamBroke, false);
     }
     Ending::Answered {
         status: status.as_u16(),
--- a/crates/rig/tests/answers.rs
+++ b/crates/rig/tests/answers.rs
@@ -221,3 +221,31 @@
 
     assert_eq!(claimed.status, Status::MayHaveRun, "{claimed:?}");
 }
+
+/// A broken answer is no crash of its target: the request itself is sound.
+#[actix_rt::test]
+async fn request_whose_answers_are_cut_is_not_quarantined() {
+    let rig = Rig::start(Options::default()).await.unwrap();
+    rig.set_targets("bibdesk", failing(Fault::CutAnswers))
+        .await
+        .unwrap();
+    let same = Plan {
+        token: Some("same".to_owned()),
+        ..lookup_bib()
+    };
+    let caller = rig.caller(0);
+
+    let mut told = Vec::new();
+    for place in rig.places.iter().chain(&rig.places) {
+        told.push(caller.send_to(&place.url(), &same, "token", 0).await.reason);
+    }
+    rig.set_targets("bibdesk", failing(Fault::None))
+        .await
+        .unwrap();
+    let sound = caller
+        .send_to(&rig.places[0].url(), &same, "token", 0)
+        .await;
+
+    assert!(!told.contains(&"quarantined".to_owned()), "{told:?}");
+    assert_ne!(sound.reason, "quarantined", "{sound:?}");
+}
