Remember others' requests for as long as requests stay at the target

Cause, from the same trace: all nine targets hold 7 to 12 waiting requests and shed a fifth, while the VMs take 3 to 4 requests for being there and send. Each of ten VMs has less than one request at a target; what the last answer told of the others was forgotten at a pace of 0.4 s, but in a crowd an answer takes 1.5 s. So the queue stands at the target, where nothing can be refused or put in order, and every answer is late.

Change: the pace is twice the mean stay of requests at that target.

Test: standing_queue_of_others_is_remembered_as_long_as_it_takes_to_drain, seen failing first.

--- a/crates/balance/src/board.rs
+++ b/crates/balance/src/board.rs
@@ -280,6 +280,7 @@
         let gauge = self.gauges.entry(sent.target.clone()).or_default();
         gauge.health.succeed();
         gauge.note_trouble(false, now);
+        gauge.note_stay(ran.as_secs_f64());
         if let Some(report) = report {
             gauge.report(report, now);
         }
--- a/crates/balance/src/gauge.rs
+++ b/crates/balance/src/gauge.rs
@@ -2,8 +2,10 @@
 
 use {std::time::Duration, steer::Health};
 
-/// Others' requests that a report told of are forgotten at this pace.
-const REPORT_DECAY_S: f64 = 0.4;
+/// Times that a request stays at the target, after which a report of others' is forgotten.
+const REPORT_STAYS: f64 = 2.0;
+/// Stay that is assumed before the first answer, in seconds.
+const FIRST_STAY_S: f64 = 0.2;
 /// Part of a new sample in the moving means.
 const STEP: f64 = 0.2;
 /// Bounds on how much slower than its service a target may be taken for.
@@ -32,6 +34,8 @@
     trouble: f64,
     trouble_at: Duration,
     slowness: f64,
+    /// How long requests stay at the target, in seconds.
+    stay_s: f64,
 }
 
 impl Default for Gauge {
@@ -44,6 +48,7 @@
             trouble: 0.0,
             trouble_at: Duration::ZERO,
             slowness: 1.0,
+            stay_s: FIRST_STAY_S,
         }
     }
 }
@@ -60,7 +65,7 @@
     #[must_use]
     pub fn in_flight(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.others_at).as_secs_f64();
-        let others = self.others * (-age / REPORT_DECAY_S).exp();
+        let others = self.others * (-age / (REPORT_STAYS * self.stay_s)).exp();
         f64::from(self.own) + others
     }
 
@@ -79,6 +84,11 @@
         self.trouble * (-age / FORGET_S).exp()
     }
 
+    /// Notes how long a request was at the target, in seconds, its wait there included.
+    pub fn note_stay(&mut self, stay_s: f64) {
+        self.stay_s += STEP * (stay_s - self.stay_s);
+    }
+
     /// Notes how long a request ran against what its route leads to expect.
     pub fn note_time(&mut self, ran_s: f64, expected_s: f64) {
         let ratio = (ran_s / expected_s.max(0.001)).clamp(SLOWNESS.0, SLOWNESS.1);
--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -318,3 +318,32 @@
 
     assert_eq!(used.len(), 2, "{used:?}");
 }
+
+/// Pattern: a standing queue at a target that other VMs fill. This VM has little there and
+/// hears of the queue only by its own answers, which take as long as the queue.
+#[test]
+fn standing_queue_of_others_is_remembered_as_long_as_it_takes_to_drain() {
+    let only = target("a", "z");
+    let places = [place(&only, Distance::Zone)];
+    let mut board = Board::default();
+    let stay = Duration::from_millis(1500);
+    let queue = Report {
+        running: 4,
+        waiting: 10,
+        slots: 4,
+    };
+
+    let mut now = NOW;
+    for number in 0..10 {
+        if let Decision::Send(sent) = board.choose(&wish("1", 0, number), &places, now) {
+            board.start(&sent, None, now);
+            board.end(&sent);
+            board.answered(&sent, Some(queue), now + stay);
+        }
+        now += stay;
+    }
+    let soon = now + Duration::from_millis(600);
+    let decision = board.choose(&wish("1", 0, 11), &places, soon);
+
+    assert!(!matches!(decision, Decision::Send(_)), "{decision:?}");
+}
