Send requests through the VM that keeps the target's queue

Cause: each VM saw a tenth (grown sites: an eightieth) of a target's requests and learned of the rest only by answers, one each 0.3 s and more at a target.

Change: the requests for a target go through one VM of the target's own zone, the first in the target's rendezvous order among those alive. It alone counts what is there, lets the rest wait in order of urgency, and refuses at once with the time until there is room. The way is no longer: the bytes cross zones or regions once, as before, and the last step is inside the zone. An answer tells the load including those that wait. A VM that cannot be reached, does not serve the target, or said nothing is passed over for 1 s, and the request goes to the target directly if it was not sent. Cold targets get theirs from their sponsors as before. Connections between VMs are not closed at the stop, since another VM may be about to use one; a request that finds its kept connection closed goes on a new one.

An object prefers another region's target less by the part of its objective that the way takes (0.1 before, for all), and what could not be answered there in 0.6 of the objective stays (0.8 before): certificates need their region, lookups and payouts do not.

--- a/crates/balance/src/board.rs
+++ b/crates/balance/src/board.rs
@@ -14,8 +14,9 @@
 /// does not stay empty for the time there and back.
 const FAR_EXTRA: f64 = 1.0;
 
-/// How much less an object prefers a target of another region, of a weight between 0 and 1.
-const FAR_HANDICAP: f64 = 0.1;
+/// How much less an object prefers a target of another region, of a weight between 0 and 1,
+/// for each part of its objective that the way there and back takes.
+const FAR_HANDICAP: f64 = 1.0;
 /// Targets that an object may go to.
 const HOMES: usize = 2;
 /// A handicap that no weight makes up for.
@@ -24,7 +25,7 @@
 /// long and drive out what it knows, so they go only where there is room to spare.
 const STRANGER_PART: f64 = 0.5;
 /// Part of the objective in which another region has to answer, for work to move there.
-const FAR_PART: f64 = 0.8;
+const FAR_PART: f64 = 0.6;
 
 /// A request that looks for a target.
 #[derive(Debug, Clone, Copy)]
@@ -60,6 +61,10 @@
     pub round_trip: Duration,
     /// Whether it has just started.
     pub cold: bool,
+    /// Whether another VM keeps its queue, and decides who waits for it.
+    pub kept: bool,
+    /// Whether the object prefers another target that is not offered.
+    pub strange: bool,
 }
 
 /// A request that is at a target.
@@ -167,10 +172,10 @@
     ) -> Vec<Candidate<'a>> {
         let key = wish.object.unwrap_or(wish.id);
         let has_near = places.iter().any(|place| place.distance != Distance::Far);
-        let handicap = match (has_near, self.far_in_time(wish, places)) {
-            (false, _) => 0.0,
-            (true, false) => NEVER,
-            (true, true) => FAR_HANDICAP,
+        let handicap = if has_near {
+            self.handicap(wish, places)
+        } else {
+            0.0
         };
         let mut order: Vec<(f64, &Place<'a>)> = Vec::with_capacity(places.len());
         for place in places {
@@ -191,16 +196,23 @@
         out
     }
 
-    /// Whether another region could answer inside the objective: work that would only be
-    /// late there is no relief for this one.
-    fn far_in_time(&self, wish: &Wish<'_>, places: &[Place<'_>]) -> bool {
+    /// What another region costs an object. Work that would only be late there stays: it is
+    /// no relief for this one.
+    fn handicap(&self, wish: &Wish<'_>, places: &[Place<'_>]) -> f64 {
         let far = places
             .iter()
             .filter(|place| place.distance == Distance::Far);
-        let nearest = far.map(|place| place.round_trip).min();
+        let Some(nearest) = far.map(|place| place.round_trip).min() else {
+            return NEVER;
+        };
+        let way = nearest.as_secs_f64();
+        let objective = wish.objective.as_secs_f64();
         let warm_s = self.times.get(wish.route).map_or(0.0, Times::short);
-        let bound = FAR_PART * wish.objective.as_secs_f64();
-        nearest.is_some_and(|round_trip| round_trip.as_secs_f64() + warm_s < bound)
+        if way + warm_s < FAR_PART * objective {
+            FAR_HANDICAP * way / objective
+        } else {
+            NEVER
+        }
     }
 
     fn candidate<'a>(
@@ -222,10 +234,12 @@
         let reserved = self
             .urgency
             .reserve(wish.service, wish.turn.priority, target.slots);
-        let first = rank == 0 && at_home;
+        let first = rank == 0 && at_home && !place.strange;
         let queued = to_f64(self.queues.ahead(&target.id, wish.turn));
         let belief = self.belief(wish, &target.id, first);
-        let most = if belief == Belief::Unknown {
+        let most = if place.kept {
+            f64::INFINITY
+        } else if belief == Belief::Unknown {
             slots * STRANGER_PART
         } else {
             slots + far
@@ -299,6 +313,42 @@
         }
     }
 
+    /// Learns from an answer that came through the VM that keeps the target's queue.
+    pub fn relayed(
+        &mut self,
+        sent: &Sent,
+        report: Option<Report>,
+        ran: Option<Duration>,
+        now: Duration,
+    ) {
+        let gauge = self.gauges.entry(sent.target.clone()).or_default();
+        gauge.health.succeed();
+        gauge.note_trouble(false, now);
+        gauge.note_stay(now.saturating_sub(sent.at).as_secs_f64());
+        if let Some(report) = report {
+            gauge.report(report, now);
+        }
+        if let Some(object) = &sent.object {
+            self.warmth.note(&sent.target, &sent.route, object);
+        }
+        if let (Some(ran), Some(times)) = (ran, self.times.get_mut(&sent.route)) {
+            times.note(sent.belief, ran);
+        }
+    }
+
+    /// Requests at a target and in its queue here.
+    #[must_use]
+    pub fn load(&self, target: &str, slots: u32, now: Duration) -> Report {
+        let gauge = self.gauges.get(target);
+        let there = gauge.map_or(0.0, |gauge| gauge.in_flight(now)).round();
+        let all = count(there) + u32::try_from(self.queues.len(target)).unwrap_or(u32::MAX);
+        Report {
+            running: all.min(slots),
+            waiting: all.saturating_sub(slots),
+            slots,
+        }
+    }
+
     /// Learns that a target turned a request away.
     pub fn turned_away(&mut self, target: &str, report: Option<Report>, now: Duration) {
         let gauge = self.gauge(target);
@@ -371,6 +421,15 @@
     }
 }
 
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a rounded count of requests"
+)]
+fn count(requests: f64) -> u32 {
+    requests as u32
+}
+
 #[allow(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
 fn to_f64(count: usize) -> f64 {
     count as f64
--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -28,6 +28,8 @@
         distance,
         round_trip: Duration::from_millis(1),
         cold: false,
+        kept: false,
+        strange: false,
     }
 }
 
@@ -347,3 +349,51 @@
 
     assert!(!matches!(decision, Decision::Send(_)), "{decision:?}");
 }
+
+/// Pattern: another VM keeps the target's queue. It knows better who waits, so what this VM
+/// believes holds nothing back.
+#[test]
+fn target_whose_queue_another_vm_keeps_is_never_waited_for_here() {
+    let only = target("a", "z");
+    let kept = [Place {
+        kept: true,
+        ..place(&only, Distance::Zone)
+    }];
+    let mut board = Board::default();
+
+    let sent = (0..50).filter(|&n| send(&mut board, &wish("1", 0, n), &kept).is_some());
+
+    assert_eq!(sent.count(), 50);
+}
+
+/// Pattern: an object comes to its second target, which does not know it, by another VM's
+/// choice: alone among the places it would look like the first.
+#[test]
+fn object_at_its_second_target_is_not_taken_for_known() {
+    let only = target("a", "z");
+    let second = [Place {
+        strange: true,
+        ..place(&only, Distance::Zone)
+    }];
+    let mut board = Board::default();
+
+    let sent = send(&mut board, &wish("1", 0, 0), &second).expect("room");
+
+    assert_eq!(sent.belief, Belief::Unknown);
+}
+
+/// Pattern: a queue at the VM that keeps it. Other VMs are told of it with each answer.
+#[test]
+fn load_that_is_told_counts_the_requests_that_wait() {
+    let only = target("a", "z");
+    let places = [place(&only, Distance::Zone)];
+    let mut board = Board::default();
+    while send(&mut board, &wish("1", 0, 0), &places).is_some() {}
+    for number in 1..4 {
+        board.queues.enter("a", wish("1", 0, number).turn);
+    }
+
+    let load = board.load("a", 4, NOW);
+
+    assert_eq!((load.running, load.waiting, load.slots), (4, 3, 4));
+}
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod connection;
 mod outcome;
+pub(crate) mod relay;
 mod send;
 
 pub(crate) use call::Wanted;
--- a/crates/gateway/src/exchange/outcome.rs
+++ b/crates/gateway/src/exchange/outcome.rs
@@ -44,6 +44,11 @@
     TooLong,
 }
 
+/// Word for a whole answer, in logs and between VMs.
+pub(super) const ANSWERED: &str = "answered";
+/// Word for the end of the time.
+pub(super) const TIMED_OUT: &str = "timed-out";
+
 /// The end of an exchange.
 #[derive(Debug)]
 pub(crate) enum Outcome {
@@ -61,15 +66,27 @@
     /// Word for logs and metrics.
     pub(crate) fn word(&self) -> &'static str {
         match self {
-            Self::Answered(_) => "answered",
+            Self::Answered(_) => ANSWERED,
             Self::NotRun { why, .. } => why.word(),
             Self::Broken(why) => why.word(),
-            Self::TimedOut => "timed-out",
+            Self::TimedOut => TIMED_OUT,
         }
     }
 }
 
 impl NotRun {
+    const ALL: [Self; 4] = [
+        Self::Unreachable,
+        Self::Unsent,
+        Self::Shed,
+        Self::Misdirected,
+    ];
+
+    /// The reason that a word stands for.
+    pub(super) fn read(word: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|why| why.word() == word)
+    }
+
     pub(crate) fn word(self) -> &'static str {
         match self {
             Self::Unreachable => "unreachable",
@@ -86,6 +103,19 @@
 }
 
 impl Broken {
+    const ALL: [Self; 5] = [
+        Self::Lost,
+        Self::Cut,
+        Self::Foreign,
+        Self::Unsigned,
+        Self::TooLong,
+    ];
+
+    /// The fault that a word stands for.
+    pub(super) fn read(word: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|why| why.word() == word)
+    }
+
     fn word(self) -> &'static str {
         match self {
             Self::Lost => "lost",
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -6,10 +6,7 @@
     balance::Report,
     bytes::Bytes,
     http_body_util::{BodyExt, Full, LengthLimitError, Limited},
-    hyper::{
-        HeaderMap, Method, Request, StatusCode, Uri, body::Incoming, client::conn::TrySendError,
-        header::HeaderValue,
-    },
+    hyper::{HeaderMap, Method, Request, StatusCode, Uri, body::Incoming, header::HeaderValue},
     std::{net::SocketAddr, time::Duration},
     tokio::time::Instant,
 };
@@ -42,6 +39,13 @@
     pub(crate) alone: bool,
 }
 
+/// An answer as it came.
+pub(super) struct Raw {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+}
+
 impl Client {
     /// Sends a request to a target and reads the whole answer.
     pub(crate) async fn send(
@@ -50,38 +54,67 @@
         outgoing: &Outgoing,
         way: &Way<'_>,
     ) -> Outcome {
-        let reused = if way.alone {
-            None
-        } else {
-            self.take(way.address)
-        };
-        let mut connection = match reused {
-            Some(connection) => connection,
-            None => match self.open(way).await {
-                Some(connection) => connection,
-                None => return not_run(NotRun::Unreachable),
-            },
-        };
         let request = request(names, outgoing, way);
-        let sent = connection.sender.try_send_request(request);
-        let answer = match tokio::time::timeout_at(way.deadline, sent).await {
-            Err(_) => return Outcome::TimedOut,
-            Ok(Err(failed)) => return failed_send(failed),
-            Ok(Ok(answer)) => answer,
+        let (raw, connection) = match self.transfer(request, way).await {
+            Ok(transferred) => transferred,
+            Err(outcome) => return outcome,
         };
-        let (parts, body) = answer.into_parts();
-        let body = match tokio::time::timeout_at(way.deadline, collect(body)).await {
-            Err(_) => return Outcome::TimedOut,
-            Ok(Err(broken)) => return Outcome::Broken(broken),
-            Ok(Ok(body)) => body,
-        };
-        let outcome = judge(names, outgoing, parts.status, parts.headers, body);
+        let outcome = judge(names, outgoing, raw);
         if let Outcome::Answered(response) = &outcome {
             self.keep_when_ready(way, connection, idle_limit(&response.headers));
         }
         outcome
     }
 
+    /// Sends a request and reads what comes back, without a look at what it says.
+    pub(super) async fn transfer(
+        &self,
+        mut request: Request<Full<Bytes>>,
+        way: &Way<'_>,
+    ) -> Result<(Raw, Connection), Outcome> {
+        let mut reused = if way.alone {
+            None
+        } else {
+            self.take(way.address)
+        };
+        loop {
+            let is_reused = reused.is_some();
+            let mut connection = match reused.take() {
+                Some(connection) => connection,
+                None => match self.open(way).await {
+                    Some(connection) => connection,
+                    None => return Err(not_run(NotRun::Unreachable)),
+                },
+            };
+            let sent = connection.sender.try_send_request(request);
+            let answer = match tokio::time::timeout_at(way.deadline, sent).await {
+                Err(_) => return Err(Outcome::TimedOut),
+                Ok(Err(mut failed)) => match failed.take_message() {
+                    // The target closed it while it was idle.
+                    Some(unsent) if is_reused => {
+                        request = unsent;
+                        continue;
+                    }
+                    Some(_) => return Err(not_run(NotRun::Unsent)),
+                    None => return Err(Outcome::Broken(Broken::Lost)),
+                },
+                Ok(Ok(answer)) => answer,
+            };
+            let (parts, body) = answer.into_parts();
+            let body = match tokio::time::timeout_at(way.deadline, collect(body)).await {
+                Err(_) => return Err(Outcome::TimedOut),
+                Ok(Err(broken)) => return Err(Outcome::Broken(broken)),
+                Ok(Ok(body)) => body,
+            };
+            let raw = Raw {
+                status: parts.status,
+                headers: parts.headers,
+                body,
+            };
+            return Ok((raw, connection));
+        }
+    }
+
     async fn open(&self, way: &Way<'_>) -> Option<Connection> {
         let start = Instant::now();
         let until = way.deadline.min(start + way.connect_timeout);
@@ -92,7 +125,7 @@
     }
 
     /// Keeps the connection once the target has read the whole request too.
-    fn keep_when_ready(
+    pub(super) fn keep_when_ready(
         self: &std::rc::Rc<Self>,
         way: &Way<'_>,
         mut connection: Connection,
@@ -112,19 +145,26 @@
     }
 }
 
-/// A request that comes back with the error was not sent at all.
-fn failed_send(mut failed: TrySendError<Request<Full<Bytes>>>) -> Outcome {
-    match failed.take_message() {
-        Some(_) => not_run(NotRun::Unsent),
-        None => Outcome::Broken(Broken::Lost),
-    }
-}
-
 fn not_run(why: NotRun) -> Outcome {
     Outcome::NotRun { why, report: None }
 }
 
 fn request(names: &Names, outgoing: &Outgoing, way: &Way<'_>) -> Request<Full<Bytes>> {
+    let mut request = with_deadline(names, outgoing, way);
+    if let Ok(id) = HeaderValue::from_str(way.target) {
+        request
+            .headers_mut()
+            .insert(names.expect_target.clone(), id);
+    }
+    request
+}
+
+/// The request with the time that is left to it.
+pub(super) fn with_deadline(
+    names: &Names,
+    outgoing: &Outgoing,
+    way: &Way<'_>,
+) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(outgoing.body.clone()));
     *request.method_mut() = outgoing.method.clone();
     *request.uri_mut() = outgoing.uri.clone();
@@ -134,11 +174,6 @@
     request
         .headers_mut()
         .insert(names.deadline_ms.clone(), left);
-    if let Ok(id) = HeaderValue::from_str(way.target) {
-        request
-            .headers_mut()
-            .insert(names.expect_target.clone(), id);
-    }
     request
 }
 
@@ -151,13 +186,12 @@
     }
 }
 
-fn judge(
-    names: &Names,
-    outgoing: &Outgoing,
-    status: StatusCode,
-    headers: HeaderMap,
-    body: Bytes,
-) -> Outcome {
+pub(super) fn judge(names: &Names, outgoing: &Outgoing, raw: Raw) -> Outcome {
+    let Raw {
+        status,
+        headers,
+        body,
+    } = raw;
     let report = headers.get(&names.load).and_then(read_load);
     let echoed = headers.get(&names.request_id);
     if echoed.is_some_and(|echoed| *echoed != outgoing.id) {
@@ -189,7 +223,7 @@
     }))
 }
 
-fn read_load(value: &HeaderValue) -> Option<Report> {
+pub(super) fn read_load(value: &HeaderValue) -> Option<Report> {
     let mut parts = value
         .to_str()
         .ok()?
@@ -204,7 +238,7 @@
 }
 
 /// How long the connection may be idle, by the target's `Keep-Alive` header.
-fn idle_limit(headers: &HeaderMap) -> Duration {
+pub(super) fn idle_limit(headers: &HeaderMap) -> Duration {
     let value = headers.get("keep-alive").and_then(|v| v.to_str().ok());
     let stated = value.and_then(|value| {
         let mut parts = value.split(',').map(str::trim);
--- /dev/null
+++ b/crates/gateway/src/front/relayed.rs
@@ -0,0 +1,157 @@
+//! Serves requests that other VMs hand over for targets whose queues this VM keeps.
+
+use {
+    super::{
+        answer::{Answer, plain},
+        body,
+        parse::Head,
+        serve::{Busy, fingerprint, outgoing},
+        transit::{deliver, exchange, find, learn},
+    },
+    crate::{
+        Node,
+        exchange::{
+            Outcome, Outgoing,
+            relay::{AFTER_MS, FIRST, FULL, OUTCOME, RAN_MS, TARGET, UNSERVED, WAITED_MS},
+        },
+        node::{Only, Work, millis},
+    },
+    hyper::{
+        HeaderMap, Request, StatusCode,
+        body::Incoming,
+        header::{HeaderName, HeaderValue},
+        http::request,
+    },
+    std::{rc::Rc, time::Duration},
+};
+
+/// Whether a request was handed over by another VM.
+pub(crate) fn is_relayed(request: &Request<Incoming>) -> bool {
+    request.headers().contains_key(&TARGET)
+}
+
+/// Serves a request that another VM hands over.
+pub(crate) async fn relayed(node: Rc<Node>, request: Request<Incoming>) -> Answer {
+    let busy = Busy::new(&node);
+    let (mut parts, body) = request.into_parts();
+    let Some((work, head)) = read(&node, &mut parts) else {
+        return unserved("not served here");
+    };
+    let most = node.table().limits().body_bytes;
+    let Ok(content) = body::read(&node, body, most, work.deadline).await else {
+        return unserved("body not read");
+    };
+    node.note_offered(&work);
+    let fingerprint = fingerprint(&work, &parts, &content);
+    let outgoing = outgoing(&head, parts, &content);
+    if work.is_idempotent() {
+        return run(&node, &work, &outgoing, &fingerprint).await;
+    }
+    // Work that may not be repeated is seen through, also when the other VM has gone.
+    let running = tokio::task::spawn_local(async move {
+        let answer = run(&node, &work, &outgoing, &fingerprint).await;
+        drop((busy, content));
+        answer
+    });
+    running.await.unwrap_or_else(|error| {
+        log::error!(event = "task_failed", reason:% = error; "request ended without an answer");
+        plain(StatusCode::INTERNAL_SERVER_ERROR, "internal error")
+    })
+}
+
+fn unserved(reason: &'static str) -> Answer {
+    told(plain(StatusCode::SERVICE_UNAVAILABLE, reason), UNSERVED)
+}
+
+/// What is to be done, if this VM serves the target.
+fn read(node: &Rc<Node>, parts: &mut request::Parts) -> Option<(Work, Head)> {
+    let target = parts.headers.remove(TARGET)?;
+    let target = target.to_str().ok()?.to_owned();
+    let first = parts
+        .headers
+        .remove(FIRST)
+        .is_some_and(|first| first == "1");
+    let waited = parts.headers.remove(WAITED_MS);
+    let waited = waited.and_then(|w| w.to_str().ok()?.parse().ok());
+    let head = Head::read(&node.names, parts).ok()?;
+    let table = node.table();
+    let route = table.find(&head.host, parts.uri.path())?.clone();
+    let catalog = node.catalog.borrow();
+    if node.leaving_since().is_some() || !catalog.is_usable(&target) {
+        return None;
+    }
+    let service = catalog.get(&target)?.service.clone();
+    let arrived = node.now();
+    let asked_before = Duration::from_millis(waited.unwrap_or(0));
+    let late = asked_before >= route.objective;
+    let work = Work {
+        turn: node.next_turn(&route, late),
+        asked_before,
+        id: head.id.to_str().unwrap_or_default().to_owned(),
+        service,
+        object: head.object.clone().filter(|_| route.affinity),
+        deadline: arrived + head.deadline?,
+        route,
+        arrived,
+        tried: Vec::new(),
+        only: Some(Only { target, first }),
+    };
+    Some((work, head))
+}
+
+async fn run(node: &Rc<Node>, work: &Work, outgoing: &Outgoing, fingerprint: &str) -> Answer {
+    let choice = match find(node, work).await {
+        Ok(choice) => choice,
+        Err(after) => {
+            let mut answer = told(plain(StatusCode::SERVICE_UNAVAILABLE, "no room"), FULL);
+            put(answer.headers_mut(), &AFTER_MS, millis(after));
+            return answer;
+        }
+    };
+    let outcome = exchange(node, work, outgoing, &choice).await;
+    learn(node, work, &choice, &outcome, fingerprint);
+    let sent = choice.sent.clone();
+    // The load that is told should not count this request any more.
+    drop(choice);
+    let ran = node.now().saturating_sub(sent.at);
+    let mut answer = convey(outcome);
+    tell_load(node, &sent.target, answer.headers_mut());
+    put(answer.headers_mut(), &RAN_MS, millis(ran));
+    answer
+}
+
+/// The end of an exchange as the other VM reads it.
+fn convey(outcome: Outcome) -> Answer {
+    let how = outcome.word();
+    let answer = match outcome {
+        Outcome::Answered(response) => deliver(*response),
+        Outcome::NotRun { .. } => plain(StatusCode::SERVICE_UNAVAILABLE, "not run"),
+        Outcome::Broken(_) => plain(StatusCode::BAD_GATEWAY, "no whole answer"),
+        Outcome::TimedOut => plain(StatusCode::GATEWAY_TIMEOUT, "time is up"),
+    };
+    told(answer, how)
+}
+
+/// States the requests that wait here too, in place of the target's own report.
+fn tell_load(node: &Node, target: &str, headers: &mut HeaderMap) {
+    let catalog = node.catalog.borrow();
+    let Some(target) = catalog.get(target) else {
+        return;
+    };
+    let board = node.board.borrow();
+    let load = board.load(&target.id, target.slots, node.now());
+    let text = format!("{},{},{}", load.running, load.waiting, load.slots);
+    if let Ok(value) = HeaderValue::from_str(&text) {
+        headers.insert(node.names.load.clone(), value);
+    }
+}
+
+fn told(mut answer: Answer, how: &'static str) -> Answer {
+    let how = HeaderValue::from_static(how);
+    answer.headers_mut().insert(OUTCOME, how);
+    answer
+}
+
+fn put(headers: &mut HeaderMap, name: &HeaderName, number: u64) {
+    headers.insert(name, HeaderValue::from(number));
+}
--- a/crates/gateway/src/front/serve.rs
+++ b/crates/gateway/src/front/serve.rs
@@ -22,10 +22,10 @@
 const MEMORY_RETRY: Duration = Duration::from_secs(1);
 
 /// Counts requests that are being served.
-struct Busy(Rc<Node>);
+pub(super) struct Busy(Rc<Node>);
 
 impl Busy {
-    fn new(node: &Rc<Node>) -> Self {
+    pub(super) fn new(node: &Rc<Node>) -> Self {
         node.in_flight.set(node.in_flight.get() + 1);
         Self(node.clone())
     }
@@ -70,6 +70,7 @@
         arrived,
         deadline,
         tried: Vec::new(),
+        only: None,
     };
     node.note_offered(&work);
     let fingerprint = fingerprint(&work, &parts, &content);
@@ -133,7 +134,7 @@
     }
 }
 
-fn outgoing(head: &Head, parts: request::Parts, content: &Content) -> Outgoing {
+pub(super) fn outgoing(head: &Head, parts: request::Parts, content: &Content) -> Outgoing {
     let mut headers = parts.headers;
     strip(&mut headers);
     Outgoing {
@@ -146,7 +147,7 @@
 }
 
 /// Hash by which a request that crashes targets is known again under another identifier.
-fn fingerprint(work: &Work, parts: &request::Parts, content: &Content) -> String {
+pub(super) fn fingerprint(work: &Work, parts: &request::Parts, content: &Content) -> String {
     let mut hash = Xxh3::new();
     hash.update(work.route.name.as_bytes());
     hash.update(parts.method.as_str().as_bytes());
--- a/crates/gateway/src/front/server.rs
+++ b/crates/gateway/src/front/server.rs
@@ -30,7 +30,8 @@
     /// Most connections at a time.
     pub connections: usize,
     /// Holds the time of the stop once there is one; answers then close their connection.
-    pub leaving: watch::Receiver<Option<Duration>>,
+    /// Without it, connections stay open to the end.
+    pub leaving: Option<watch::Receiver<Option<Duration>>>,
 }
 
 /// Serves connections until the process ends.
@@ -94,6 +95,15 @@
     }
 }
 
+/// Waits for the beginning of the stop.
+async fn stopped(leaving: &mut Option<watch::Receiver<Option<Duration>>>) {
+    match leaving {
+        // The sender lives as long as the process.
+        Some(leaving) => drop(leaving.changed().await),
+        None => std::future::pending().await,
+    }
+}
+
 async fn connection<F, A>(mut server: Server, stream: TcpStream, handler: F)
 where
     F: Fn(Request<Incoming>) -> A + Clone + 'static,
@@ -107,7 +117,10 @@
         let answer = handler(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
-    let leaving = server.leaving.borrow().is_some();
+    let leaving = server
+        .leaving
+        .as_ref()
+        .is_some_and(|leaving| leaving.borrow().is_some());
     let limits = (server.limits)();
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -118,7 +131,7 @@
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        _ = server.leaving.changed(), if !leaving => {
+        () = stopped(&mut server.leaving), if !leaving => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/crates/gateway/src/front/transit.rs
+++ b/crates/gateway/src/front/transit.rs
@@ -4,9 +4,13 @@
     super::answer::{Answer, plain, refusal},
     crate::{
         Node,
-        exchange::{Broken, NotRun, Outcome, Outgoing, Response, Way},
-        node::{Choice, Step, Waiting, Work},
+        exchange::{
+            Broken, NotRun, Outcome, Outgoing, Response, Way,
+            relay::{Errand, Relayed},
+        },
+        node::{Choice, Keeper, Step, Waiting, Work},
     },
+    balance::Belief,
     bytes::Bytes,
     http_body_util::Full,
     hyper::{StatusCode, header::CONTENT_LENGTH},
@@ -59,6 +63,7 @@
 ) -> Result<Response, Failure> {
     let mut doubt: Option<&'static str> = None;
     let mut arrived = 0;
+    let mut full: Option<Duration> = None;
     loop {
         if work.deadline.saturating_sub(node.now()) < MIN_LEFT {
             return Err(if doubt.is_some() {
@@ -69,7 +74,7 @@
         }
         let choice = match find(node, work).await {
             Ok(choice) => choice,
-            Err(after) => return Err(no_target(doubt, after)),
+            Err(after) => return Err(no_target(doubt, full.unwrap_or(after).min(after))),
         };
         if arrived == 0 && work.tried.is_empty() {
             node.note_first(&work.service);
@@ -78,8 +83,16 @@
         }
         let target = choice.sent.target.clone();
         work.tried.push(target.clone());
-        let outcome = exchange(node, work, outgoing, &choice).await;
-        learn(node, work, &choice, &outcome, fingerprint);
+        let outcome = match pass(node, work, outgoing, &choice, fingerprint).await {
+            Ok(outcome) => outcome,
+            Err(after) => {
+                let soonest = full.map_or(after, |full| full.min(after));
+                if full.replace(soonest).is_some() {
+                    return Err(no_target(doubt, soonest));
+                }
+                continue;
+            }
+        };
         drop(choice);
         match outcome {
             Outcome::Answered(response) => return Ok(*response),
@@ -97,8 +110,107 @@
     }
 }
 
+/// Passes a request to a target, through the VM that keeps its queue if that is another.
+/// The error is the time after which that VM expects room.
+async fn pass(
+    node: &Rc<Node>,
+    work: &Work,
+    outgoing: &Outgoing,
+    choice: &Choice,
+    fingerprint: &str,
+) -> Result<Outcome, Duration> {
+    if let Some(keeper) = &choice.keeper {
+        match relay(node, work, outgoing, choice, keeper).await {
+            Relayed::Done { outcome, ran } => {
+                learn_relayed(node, work, choice, &outcome, ran, fingerprint);
+                return Ok(outcome);
+            }
+            Relayed::Full { after } => return Err(after),
+            Relayed::Unserved => {}
+            Relayed::Unreachable => {
+                log::warn!(event = "keeper_unreachable", vm = keeper.name.as_str(), target = choice.sent.target.as_str(), request = work.id.as_str(); "sending to the target directly");
+                node.avoid(keeper, node.now());
+            }
+            Relayed::Silent(outcome) => {
+                log::warn!(event = "keeper_silent", vm = keeper.name.as_str(), target = choice.sent.target.as_str(), request = work.id.as_str(), outcome = outcome.word(); "no answer from the VM that keeps the target's queue");
+                node.avoid(keeper, node.now());
+                return Ok(outcome);
+            }
+        }
+    }
+    let outcome = exchange(node, work, outgoing, choice).await;
+    learn(node, work, choice, &outcome, fingerprint);
+    Ok(outcome)
+}
+
+async fn relay(
+    node: &Rc<Node>,
+    work: &Work,
+    outgoing: &Outgoing,
+    choice: &Choice,
+    keeper: &Keeper,
+) -> Relayed {
+    let way = Way {
+        target: &choice.sent.target,
+        address: keeper.address,
+        deadline: node.clock.at(work.deadline),
+        connect_timeout: CONNECT_TIMEOUT,
+        alone: false,
+    };
+    let waited = node.now().saturating_sub(work.arrived) + work.asked_before;
+    let errand = Errand {
+        first: choice.sent.belief != Belief::Unknown,
+        waited: waited + choice.sent.round_trip,
+    };
+    node.client
+        .relay(&node.names, outgoing, &way, &errand)
+        .await
+}
+
+/// Takes what an exchange through another VM tells; that VM looks after the target.
+fn learn_relayed(
+    node: &Rc<Node>,
+    work: &Work,
+    choice: &Choice,
+    outcome: &Outcome,
+    ran: Option<Duration>,
+    fingerprint: &str,
+) {
+    let now = node.now();
+    let sent = &choice.sent;
+    note_exchange(work, choice, outcome, now);
+    match outcome {
+        Outcome::Answered(response) => {
+            let mut board = node.board.borrow_mut();
+            board.relayed(sent, response.report, ran, now);
+            node.quarantine.borrow_mut().succeed(fingerprint);
+        }
+        Outcome::NotRun {
+            why: NotRun::Unreachable,
+            ..
+        } => fail(node, work, choice, now),
+        Outcome::NotRun { report, .. } => {
+            let mut board = node.board.borrow_mut();
+            board.turned_away(&sent.target, *report, now);
+        }
+        Outcome::Broken(_) => {
+            let mut board = node.board.borrow_mut();
+            board.turned_away(&sent.target, None, now);
+        }
+        Outcome::TimedOut => {}
+    }
+}
+
+fn note_exchange(work: &Work, choice: &Choice, outcome: &Outcome, now: Duration) {
+    let sent = &choice.sent;
+    let took_ms = u64::try_from(now.saturating_sub(sent.at).as_millis()).unwrap_or(u64::MAX);
+    let through = choice.keeper.as_ref().map_or("", |keeper| &keeper.name);
+    log::info!(event = "exchange", request = work.id.as_str(), target = sent.target.as_str(), through = through, outcome = outcome.word(), belief:? = sent.belief, ahead = sent.ahead, took_ms = took_ms; "exchange ended");
+    metrics::counter!("cicadalift_exchanges_total", "outcome" => outcome.word()).increment(1);
+}
+
 /// Finds a target, after a wait if that leaves time for an answer.
-async fn find(node: &Rc<Node>, work: &Work) -> Result<Choice, Duration> {
+pub(super) async fn find(node: &Rc<Node>, work: &Work) -> Result<Choice, Duration> {
     let mut place: Option<(String, Waiting)> = None;
     loop {
         match node.choose(work) {
@@ -119,7 +231,12 @@
     }
 }
 
-async fn exchange(node: &Rc<Node>, work: &Work, outgoing: &Outgoing, choice: &Choice) -> Outcome {
+pub(super) async fn exchange(
+    node: &Rc<Node>,
+    work: &Work,
+    outgoing: &Outgoing,
+    choice: &Choice,
+) -> Outcome {
     let way = Way {
         target: &choice.sent.target,
         address: choice.address,
@@ -148,12 +265,16 @@
 }
 
 /// Takes what an exchange tells of the target and the request.
-fn learn(node: &Rc<Node>, work: &Work, choice: &Choice, outcome: &Outcome, fingerprint: &str) {
+pub(super) fn learn(
+    node: &Rc<Node>,
+    work: &Work,
+    choice: &Choice,
+    outcome: &Outcome,
+    fingerprint: &str,
+) {
     let now = node.now();
     let sent = &choice.sent;
-    let took_ms = u64::try_from(now.saturating_sub(sent.at).as_millis()).unwrap_or(u64::MAX);
-    log::info!(event = "exchange", request = work.id.as_str(), target = sent.target.as_str(), outcome = outcome.word(), belief:? = sent.belief, ahead = sent.ahead, took_ms = took_ms; "exchange ended");
-    metrics::counter!("cicadalift_exchanges_total", "outcome" => outcome.word()).increment(1);
+    note_exchange(work, choice, outcome, now);
     match outcome {
         Outcome::Answered(response) => {
             node.board.borrow_mut().answered(sent, response.report, now);
@@ -213,7 +334,7 @@
 }
 
 /// A target's answer as the caller gets it.
-fn deliver(response: Response) -> Answer {
+pub(super) fn deliver(response: Response) -> Answer {
     let mut headers = response.headers;
     super::parse::strip(&mut headers);
     headers.remove(CONTENT_LENGTH);
--- a/crates/gateway/src/launch.rs
+++ b/crates/gateway/src/launch.rs
@@ -2,12 +2,13 @@
 
 use {
     crate::{
-        GatewayError, Names, Node, Server, Settings, Store,
+        Answer, GatewayError, Names, Node, Server, Settings, Store,
         exchange::Client,
         front, metrics,
         peers::{self, Socket},
         serve_http, store,
     },
+    hyper::{Request, body::Incoming},
     std::{rc::Rc, time::Duration},
     tokio::signal::unix::{Signal, SignalKind, signal},
 };
@@ -91,10 +92,12 @@
     let server = node.server(node.settings.callers, callers);
     serve_http(server, move |request| front::serve(shared.clone(), request))?;
     let shared = node.clone();
-    let server = node.server(node.settings.peers, INNER_CONNECTIONS);
-    serve_http(server, move |request| {
-        peers::records(shared.clone(), request)
-    })?;
+    // A VM that has not yet heard of the stop may be about to use a connection.
+    let server = Server {
+        leaving: None,
+        ..node.server(node.settings.peers, callers / 2)
+    };
+    serve_http(server, move |request| inner(shared.clone(), request))?;
     let shared = node.clone();
     let handle = collected.clone();
     let server = node.server(node.settings.metrics, INNER_CONNECTIONS);
@@ -107,6 +110,15 @@
     Ok(())
 }
 
+/// Answers what other VMs ask for.
+async fn inner(node: Rc<Node>, request: Request<Incoming>) -> Answer {
+    if front::is_relayed(&request) {
+        front::relayed(node, request).await
+    } else {
+        peers::records(node, request).await
+    }
+}
+
 impl Node {
     /// How connections at an address are served.
     #[must_use]
@@ -116,7 +128,7 @@
             address,
             limits: Rc::new(move || node.table().limits().clone()),
             connections,
-            leaving: self.watch_leaving(),
+            leaving: Some(self.watch_leaving()),
         }
     }
 }
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -2,9 +2,11 @@
 
 mod changes;
 mod directory;
+mod keepers;
 mod state;
 mod work;
 
+pub(crate) use keepers::{Keeper, Keepers};
 pub use state::Node;
 pub(crate) use state::millis;
-pub(crate) use work::{Choice, Step, Waiting, Work};
+pub(crate) use work::{Choice, Only, Step, Waiting, Work};
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -53,6 +53,7 @@
     rows: watch::Sender<u64>,
     on_its_own_until: Cell<Duration>,
     leaving: watch::Sender<Option<Duration>>,
+    pub(crate) keepers: RefCell<super::Keepers>,
     socket: RefCell<Option<Rc<crate::peers::Socket>>>,
 }
 
@@ -96,6 +97,7 @@
             rows: watch::Sender::new(0),
             on_its_own_until: Cell::new(Duration::ZERO),
             leaving: watch::Sender::new(None),
+            keepers: RefCell::default(),
             socket: RefCell::default(),
         }
     }
--- a/crates/gateway/src/node/work.rs
+++ b/crates/gateway/src/node/work.rs
@@ -1,7 +1,7 @@
 //! Choosing a target for a request, and accounting for it.
 
 use {
-    super::Node,
+    super::{Keeper, Node},
     balance::{Decision, Distance, Place, Sent, Turn, Wish, sponsors},
     catalog::{Catalog, Target},
     route::{Kind, Route},
@@ -31,6 +31,16 @@
     pub(crate) turn: Turn,
     /// Targets that it was sent to.
     pub(crate) tried: Vec<String>,
+    /// The target that it is to go to, where another VM chose that.
+    pub(crate) only: Option<Only>,
+}
+
+/// A target that another VM chose.
+#[derive(Debug, Clone)]
+pub(crate) struct Only {
+    pub(crate) target: String,
+    /// Whether it is the first in the order of the object.
+    pub(crate) first: bool,
 }
 
 impl Work {
@@ -68,6 +78,8 @@
 pub(crate) struct Choice {
     pub(crate) sent: Sent,
     pub(crate) address: SocketAddr,
+    /// The VM through which the request goes.
+    pub(crate) keeper: Option<Keeper>,
     _in_flight: InFlight,
 }
 
@@ -138,6 +150,7 @@
         self.board.borrow_mut().start(&sent, bound, now);
         Step::Send(Box::new(Choice {
             address: target.address,
+            keeper: self.keeper_for(work, target, cold, now),
             _in_flight: InFlight {
                 node: self.clone(),
                 sent: sent.clone(),
@@ -150,10 +163,11 @@
     fn places<'a>(&self, work: &'a Work, catalog: &'a Catalog, now: Duration) -> Vec<Place<'a>> {
         let mut places = Vec::new();
         for target in catalog.usable(&work.service) {
-            let Some((distance, round_trip)) = self.place(work, target) else {
+            let cold = catalog.is_cold(&target.id, now);
+            let keeper = self.keeper_for(work, target, cold, now);
+            let Some((distance, round_trip)) = self.place(work, target, keeper.as_ref()) else {
                 continue;
             };
-            let cold = catalog.is_cold(&target.id, now);
             let out = self.board.borrow().is_ejected(&target.id, now);
             if !out && (!cold || self.ramp_fits(target, now)) {
                 places.push(Place {
@@ -161,12 +175,29 @@
                     distance,
                     round_trip,
                     cold,
+                    kept: keeper.is_some(),
+                    strange: work.only.as_ref().is_some_and(|only| !only.first),
                 });
             }
         }
         places
     }
 
+    /// The VM through which a request goes to a target. Cold targets get theirs from their
+    /// sponsors directly.
+    fn keeper_for(
+        &self,
+        work: &Work,
+        target: &Target,
+        cold: bool,
+        now: Duration,
+    ) -> Option<Keeper> {
+        if work.only.is_some() || cold {
+            return None;
+        }
+        self.keeper(target, now)
+    }
+
     fn ramp_fits(&self, target: &Target, now: Duration) -> bool {
         let bound = self.cold_bound(target);
         let mut board = self.board.borrow_mut();
@@ -186,21 +217,31 @@
     }
 
     /// How far a target is, unless the request may not go there.
-    fn place(&self, work: &Work, target: &Target) -> Option<(Distance, Duration)> {
+    fn place(
+        &self,
+        work: &Work,
+        target: &Target,
+        keeper: Option<&Keeper>,
+    ) -> Option<(Distance, Duration)> {
         let region = self.settings.region_of(&target.zone);
         let homes = &work.route.regions;
         let at_home = homes.is_empty() || homes.iter().any(|home| home == region);
-        if !at_home || work.tried.contains(&target.id) {
+        let other = work
+            .only
+            .as_ref()
+            .is_some_and(|only| only.target != target.id);
+        if other || !at_home || work.tried.contains(&target.id) {
             return None;
         }
-        let (distance, round_trip) = self.distance(target);
-        // A connection of its own costs one more.
-        let trips = if work.is_idempotent() { 1 } else { 2 };
+        let (distance, round_trip) = self.distance(target, keeper);
+        // A connection of its own to the target costs one more.
+        let alone = keeper.is_none() && !work.is_idempotent();
+        let trips = if alone { 2 } else { 1 };
         Some((distance, round_trip * trips))
     }
 
     /// How far a target is, and the time there and back by the connections made to it.
-    fn distance(&self, target: &Target) -> (Distance, Duration) {
+    fn distance(&self, target: &Target, keeper: Option<&Keeper>) -> (Distance, Duration) {
         let (distance, assumed) = if target.zone == self.settings.zone {
             (Distance::Zone, ROUND_TRIPS[0])
         } else if self.settings.region_of(&target.zone) == self.settings.region {
@@ -208,7 +249,8 @@
         } else {
             (Distance::Far, ROUND_TRIPS[2])
         };
-        let measured = self.client.round_trip(target.address);
+        let address = keeper.map_or(target.address, |keeper| keeper.address);
+        let measured = self.client.round_trip(address);
         (distance, measured.unwrap_or(assumed))
     }
 
