Count crashes where all targets of a request are seen; test both across VMs

Cause: a new test (a request that ends its targets, sent to three VMs in turn) saw four targets crash where three are allowed, three times of ten: since requests go through the VM that keeps the target's queue, the two crashes of one request were counted at two VMs at the same time, each as the first.

Change: the VM that serves the caller counts, for it sees all targets of its request; the one that passed it on does not. A VM that keeps a target's queue but does not use the target says so, and the caller's VM goes on as with one that cannot be reached. Gone with no user: counts of retries, generations of the catalog.

Tests: request_that_crashes_targets_stops_after_the_third_at_every_vm (seen failing with 4, and without counting), vm_that_keeps_a_queue_dies_and_the_others_go_on (seen failing where a dead keeper is taken for a full target).

--- a/crates/balance/src/retry.rs
+++ b/crates/balance/src/retry.rs
@@ -47,12 +47,6 @@
         fits
     }
 
-    /// First sends and retries in the window that ends now.
-    #[must_use]
-    pub fn counts(&self) -> (usize, usize) {
-        (self.firsts.len(), self.repeats.len())
-    }
-
     fn forget(&mut self, now: Duration, rule: &RetryRule) {
         let start = now.saturating_sub(rule.window);
         for times in [&mut self.firsts, &mut self.repeats] {
--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -34,7 +34,6 @@
 pub struct Catalog {
     entries: Map<String, Entry>,
     zones: Map<String, Evacuation>,
-    generation: u64,
 }
 
 impl Catalog {
@@ -101,7 +100,6 @@
             ended_at: now,
         };
         self.zones.insert(zone.to_owned(), evacuation);
-        self.generation += 1;
         true
     }
 
@@ -115,9 +113,6 @@
                 expired.push(id.clone());
             }
         }
-        if !expired.is_empty() {
-            self.generation += 1;
-        }
         expired
     }
 
@@ -183,12 +178,6 @@
         self.len() == 0
     }
 
-    /// Raised whenever a target or a zone changes.
-    #[must_use]
-    pub fn generation(&self) -> u64 {
-        self.generation
-    }
-
     /// Every target, in no order.
     pub fn targets(&self) -> impl Iterator<Item = &Target> {
         self.entries.values().filter_map(|e| e.target.as_ref())
@@ -202,6 +191,5 @@
 
     fn insert(&mut self, id: String, entry: Entry) {
         self.entries.insert(id, entry);
-        self.generation += 1;
     }
 }
--- a/crates/gateway/src/exchange/outcome.rs
+++ b/crates/gateway/src/exchange/outcome.rs
@@ -63,6 +63,14 @@
 }
 
 impl Outcome {
+    /// No connection to the target was or could be made.
+    pub(crate) fn unreachable() -> Self {
+        Self::NotRun {
+            why: NotRun::Unreachable,
+            report: None,
+        }
+    }
+
     /// Word for logs and metrics.
     pub(crate) fn word(&self) -> &'static str {
         match self {
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -83,7 +83,7 @@
                 Some(connection) => connection,
                 None => match self.open(way).await {
                     Some(connection) => connection,
-                    None => return Err(not_run(NotRun::Unreachable)),
+                    None => return Err(Outcome::unreachable()),
                 },
             };
             let sent = connection.sender.try_send_request(request);
@@ -95,7 +95,12 @@
                         request = unsent;
                         continue;
                     }
-                    Some(_) => return Err(not_run(NotRun::Unsent)),
+                    Some(_) => {
+                        return Err(Outcome::NotRun {
+                            why: NotRun::Unsent,
+                            report: None,
+                        });
+                    }
                     None => return Err(Outcome::Broken(Broken::Lost)),
                 },
                 Ok(Ok(answer)) => answer,
@@ -145,10 +150,6 @@
     }
 }
 
-fn not_run(why: NotRun) -> Outcome {
-    Outcome::NotRun { why, report: None }
-}
-
 fn request(names: &Names, outgoing: &Outgoing, way: &Way<'_>) -> Request<Full<Bytes>> {
     let mut request = with_deadline(names, outgoing, way);
     if let Ok(id) = HeaderValue::from_str(way.target) {
--- a/crates/gateway/src/front/relayed.rs
+++ b/crates/gateway/src/front/relayed.rs
@@ -102,6 +102,7 @@
 async fn run(node: &Rc<Node>, work: &Work, outgoing: &Outgoing, fingerprint: &str) -> Answer {
     let choice = match find(node, work).await {
         Ok(choice) => choice,
+        Err(_) if is_ejected(node, work) => return convey(Outcome::unreachable()),
         Err(after) => {
             let mut answer = told(plain(StatusCode::SERVICE_UNAVAILABLE, "no room"), FULL);
             put(answer.headers_mut(), &AFTER_MS, millis(after));
@@ -120,6 +121,12 @@
     answer
 }
 
+fn is_ejected(node: &Node, work: &Work) -> bool {
+    let board = node.board.borrow();
+    let only = work.only.as_ref();
+    only.is_some_and(|only| board.is_ejected(&only.target, node.now()))
+}
+
 /// The end of an exchange as the other VM reads it.
 fn convey(outcome: Outcome) -> Answer {
     let how = outcome.word();
--- a/crates/gateway/src/front/transit.rs
+++ b/crates/gateway/src/front/transit.rs
@@ -193,9 +193,12 @@
             let mut board = node.board.borrow_mut();
             board.turned_away(&sent.target, *report, now);
         }
-        Outcome::Broken(_) => {
+        Outcome::Broken(why) => {
             let mut board = node.board.borrow_mut();
             board.turned_away(&sent.target, None, now);
+            if *why == Broken::Lost {
+                crate::peers::suspect_crash(node, choice.address, fingerprint);
+            }
         }
         Outcome::TimedOut => {}
     }
@@ -297,7 +300,10 @@
         Outcome::NotRun { .. } => fail(node, work, choice, now),
         Outcome::Broken(Broken::Lost) => {
             fail(node, work, choice, now);
-            crate::peers::suspect_crash(node, choice.address, fingerprint);
+            // The VM that handed the request over counts, as it sees all its targets.
+            if work.only.is_none() {
+                crate::peers::suspect_crash(node, choice.address, fingerprint);
+            }
         }
         Outcome::Broken(_) => {
             node.board.borrow_mut().turned_away(&sent.target, None, now);
