Do not hold a target's slowness against the VM that keeps its queue; log what is handed back

Both VMs wait for the target until the same deadline; the one that serves the caller took that for silence of the other, and sent around it for a second, so that its requests were not counted there.

Change: only a lost connection is silence. The VM that keeps a queue logs `handed_back` with the target, what was ahead and when there is room.

--- a/crates/balance/src/board.rs
+++ b/crates/balance/src/board.rs
@@ -338,10 +338,17 @@
 
     /// Requests at a target and in its queue here.
     #[must_use]
-    pub fn load(&self, target: &str, slots: u32, now: Duration) -> Report {
+    pub fn present(&self, target: &str, now: Duration) -> u32 {
         let gauge = self.gauges.get(target);
         let there = gauge.map_or(0.0, |gauge| gauge.in_flight(now)).round();
-        let all = count(there) + u32::try_from(self.queues.len(target)).unwrap_or(u32::MAX);
+        let queued = u32::try_from(self.queues.len(target)).unwrap_or(u32::MAX);
+        count(there).saturating_add(queued)
+    }
+
+    /// The same, divided by what the target runs at a time.
+    #[must_use]
+    pub fn load(&self, target: &str, slots: u32, now: Duration) -> Report {
+        let all = self.present(target, now);
         Report {
             running: all.min(slots),
             waiting: all.saturating_sub(slots),
--- a/crates/gateway/src/exchange/relay.rs
+++ b/crates/gateway/src/exchange/relay.rs
@@ -77,6 +77,8 @@
         let (raw, connection) = match self.transfer(request, way).await {
             Ok(transferred) => transferred,
             Err(Outcome::NotRun { .. }) => return Relayed::Unreachable,
+            // The other VM waits for the target until the same moment.
+            Err(outcome @ Outcome::TimedOut) => return Relayed::Done { outcome, ran: None },
             Err(outcome) => return Relayed::Silent(outcome),
         };
         self.keep_when_ready(way, connection, IDLE);
--- a/crates/gateway/src/front/relayed.rs
+++ b/crates/gateway/src/front/relayed.rs
@@ -35,6 +35,7 @@
     let busy = Busy::new(&node);
     let (mut parts, body) = request.into_parts();
     let Some((work, head)) = read(&node, &mut parts) else {
+        log::info!(event = "handed_back", reason = "unserved", version = node.table().version(); "target is not served here");
         return unserved("not served here");
     };
     let most = node.table().limits().body_bytes;
@@ -104,6 +105,9 @@
         Ok(choice) => choice,
         Err(_) if is_ejected(node, work) => return convey(Outcome::unreachable()),
         Err(after) => {
+            let target = work.only.as_ref().map_or("", |only| &only.target);
+            let ahead = node.board.borrow().present(target, node.now());
+            log::info!(event = "handed_back", request = work.id.as_str(), reason = "full", target = target, ahead = ahead, after_ms = millis(after); "no room in time");
             let mut answer = told(plain(StatusCode::SERVICE_UNAVAILABLE, "no room"), FULL);
             put(answer.headers_mut(), &AFTER_MS, millis(after));
             return answer;
