Let one VM in thirty follow the store

Cause: at the design size a zone has 87 VMs and one of them told the 86 others of changes, 35 KB/s where 15 are allowed (open in CAPACITY).

Change: the first VMs of a zone by weight follow the store, one for each thirty; each other VM hears from the one of them that its own weight chooses.

Worked out: at most 37 VMs a follower, 15 KB/s. Not run at that size.

Tests: large_zone_has_a_follower_for_each_thirty_vms, small_zone_has_one_follower.

--- a/crates/balance/tests/limits.rs
+++ b/crates/balance/tests/limits.rs
@@ -1,8 +1,8 @@
 //! Limits that VMs share without a message.
 
 use {
-    balance::{Ramp, Retries, RetryRule, sponsors},
-    std::time::Duration,
+    balance::{Ramp, Retries, RetryRule, source, sponsors},
+    std::{collections::BTreeMap, time::Duration},
 };
 
 const RULE: RetryRule = RetryRule {
@@ -102,3 +102,34 @@
             .all(|name| ["a", "c", "e", "f"].contains(name))
     );
 }
+
+/// Pattern: a zone of 87 VMs, as at the design size. Each group has its own follower, and no
+/// follower tells more than it can.
+#[test]
+fn large_zone_has_a_follower_for_each_thirty_vms() {
+    let names: Vec<String> = (0..87).map(|n| format!("vm-{n}")).collect();
+
+    let mut told: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut followers = 0;
+    for own in &names {
+        let others = names.iter().filter(|name| *name != own);
+        match source(own, others.map(String::as_str)) {
+            Some(source) => *told.entry(source).or_default() += 1,
+            None => followers += 1,
+        }
+    }
+
+    assert_eq!(followers, 3);
+    assert_eq!(told.len(), 3);
+    // 15 KB/s a VM for control, 0.4 KB/s for each that is told.
+    assert!(told.values().all(|told| *told <= 37), "{told:?}");
+}
+
+#[test]
+fn small_zone_has_one_follower() {
+    let names = ["a", "b", "c"];
+
+    let sources = names.map(|own| source(own, names.into_iter().filter(|name| *name != own)));
+
+    assert_eq!(sources.iter().filter(|source| source.is_none()).count(), 1);
+}
--- a/crates/gateway/src/store/attend.rs
+++ b/crates/gateway/src/store/attend.rs
@@ -1,13 +1,12 @@
 //! Hears changes from the VM of this zone that follows the store.
 //!
-//! One VM of each zone follows the store, so that its calls grow with the zones and not
-//! with the VMs. The others wait for rows at that VM. A VM whose source fails, or says that
+//! One VM of each zone follows the store, or one for each thirty, so that its calls hardly
+//! grow with the VMs. The others wait for rows at one of them. A VM whose source fails, or says that
 //! it does not hear the store itself, follows the store for a while on its own.
 
 use {
     super::pull::{pull, take},
     crate::Node,
-    balance::weight,
     std::{rc::Rc, time::Duration},
     wire::Member,
 };
@@ -50,15 +49,12 @@
     node.is_on_its_own() || source(node).is_none()
 }
 
-/// The VM of this zone that follows the store, unless it is this one.
+/// The VM of this zone from which this one hears of changes, unless it follows the store.
 fn source(node: &Node) -> Option<Member> {
     let view = node.view();
-    let place = |member: &Member| weight("store", &member.name);
-    let own = place(view.me());
-    let near = view
-        .peers()
-        .into_iter()
-        .filter(|member| member.zone == node.settings.zone && view.is_alive(&member.name));
-    let first = near.max_by_key(|member| place(member))?;
-    (place(first) > own).then(|| first.clone())
+    let mut near = view.peers();
+    near.retain(|member| member.zone == node.settings.zone && view.is_alive(&member.name));
+    let names = near.iter().map(|member| member.name.as_str());
+    let source = balance::source(&node.settings.name, names)?;
+    near.into_iter().find(|m| m.name == source).cloned()
 }
