--- a/crates/measure/src/bin/cicadalift-measure.rs
+++ b/crates/measure/src/bin/cicadalift-measure.rs
@@ -10,7 +10,9 @@
 use {
     clap::{Parser, Subcommand},
     eyre::{Result, eyre},
-    measure::{Baseline, Cell, Fault, Open, Policy, Scene, Slope, Target},
+    measure::{
+        Baseline, Cell, Day, Earned, Fault, Knowledge, Open, Policy, Scene, Slope, Target, play,
+    },
     rig::{Options, Rig},
     stand::upstream,
     std::{
@@ -34,6 +36,14 @@
 enum Command {
     /// Compare policies in scenes of load and faults.
     Scenes(Scenes),
+    /// Work out what a day could earn, by what VMs know of each other's requests.
+    Bound {
+        /// Descriptions of days.
+        days: Vec<PathBuf>,
+        /// Seeds of arrivals and running times.
+        #[arg(long, default_value_t = 5)]
+        seeds: u64,
+    },
     /// Measure the slopes of the page on capacity.
     Slopes {
         /// Numbers of real VMs to start.
@@ -93,6 +103,7 @@
 async fn main() -> Result<()> {
     match Args::parse().command {
         Command::Scenes(args) => compare(&args).await,
+        Command::Bound { days, seeds } => days.iter().try_for_each(|day| bound(day, seeds)),
         Command::Slopes {
             vms,
             resting,
@@ -101,6 +112,31 @@
     }
 }
 
+/// Prints the mean over the seeds for each kind.
+fn bound(path: &Path, seeds: u64) -> Result<()> {
+    let day = Day::read(path)?;
+    println!("{}", path.display());
+    for (name, knowledge) in [("all", Knowledge::All), ("own", Knowledge::Own)] {
+        let runs: Vec<_> = (1..=seeds)
+            .map(|seed| play(&day, knowledge, seed))
+            .collect();
+        for (index, kind) in day.kinds.iter().enumerate() {
+            let mean = |of: fn(&Earned) -> f64| {
+                let sum: f64 = runs.iter().map(|run| of(&run[index].1)).sum();
+                sum / seeds.max(1) as f64
+            };
+            println!(
+                "  knows {name:<4} {:<16} earned {:.3}  in time {:.3}  late {:.3}",
+                kind.name,
+                mean(|earned| earned.part),
+                mean(|earned| f64::from(earned.in_time) / f64::from(earned.sent.max(1))),
+                mean(|earned| f64::from(earned.late) / f64::from(earned.sent.max(1))),
+            );
+        }
+    }
+    Ok(())
+}
+
 async fn slopes(vms: &[u8], only_resting: bool, window: Duration) -> Result<()> {
     let show = |slopes: &[Slope]| {
         for slope in slopes {
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -8,6 +8,7 @@
 )]
 
 mod baseline;
+mod bound;
 mod fleet;
 mod load;
 mod plot;
@@ -16,6 +17,7 @@
 mod slopes;
 
 pub use baseline::{Baseline, Policy};
+pub use bound::{Day, DayError, Earned, Knowledge, play};
 pub use fleet::fleet;
 pub use load::{Open, Target};
 pub use plot::plot;
