Split the decision, the send and the choice of a target by concern

Change: `balance::wish` (a request and what becomes of it), `balance::candidates`, `front::pass` (one send, directly or through a keeper), `node::choose`, `vms::queues`; one `see_through`, one `direct`, one `way`. A chosen place is not worked out anew.

--- a/crates/balance/src/board.rs
+++ b/crates/balance/src/board.rs
@@ -2,111 +2,13 @@
 
 use {
     crate::{
-        Ask, Belief, Candidate, Distance, Gauge, Policy, Queues, Ramp, Report, Times, Turn,
-        Urgency, Verdict, Warmth, choose, weight,
+        Ask, Belief, Candidate, Decision, Gauge, Place, Policy, Queues, Ramp, Report, Sent, Times,
+        Urgency, Verdict, Warmth, Wish, choose,
     },
-    catalog::Target,
     std::time::Duration,
     wire::Map,
 };
 
-/// Requests that a target in another region may have beyond its slots, so that a slot
-/// does not stay empty for the time there and back.
-const FAR_EXTRA: f64 = 1.0;
-
-/// How much less an object prefers a target of another region, of a weight between 0 and 1,
-/// for each part of its objective that the way there and back takes.
-const FAR_HANDICAP: f64 = 1.0;
-/// Targets that an object may go to.
-const HOMES: usize = 2;
-/// A handicap that no weight makes up for.
-const NEVER: f64 = 2.0;
-/// Part of its slots up to which a target takes objects that it does not know: these run
-/// long and drive out what it knows, so they go only where there is room to spare.
-const STRANGER_PART: f64 = 0.5;
-/// Part of the objective in which another region has to answer, for work to move there.
-const FAR_PART: f64 = 0.6;
-
-/// A request that looks for a target.
-#[derive(Debug, Clone, Copy)]
-pub struct Wish<'a> {
-    /// Name of the route.
-    pub route: &'a str,
-    /// Service that is to run it.
-    pub service: &'a str,
-    /// Latency objective of the route.
-    pub objective: Duration,
-    /// Object that it concerns, if it says.
-    pub object: Option<&'a str>,
-    /// Identifier of the request, which stands in for the object.
-    pub id: &'a str,
-    /// Its place among those that wait.
-    pub turn: Turn,
-    /// Time since its caller asked first.
-    pub waited: Duration,
-    /// Time since it arrived here.
-    pub waited_here: Duration,
-    /// Time until it ends without an answer.
-    pub left: Duration,
-}
-
-/// A target that the request may go to.
-#[derive(Debug, Clone, Copy)]
-pub struct Place<'a> {
-    /// The target.
-    pub target: &'a Target,
-    /// How far it is.
-    pub distance: Distance,
-    /// Time there and back.
-    pub round_trip: Duration,
-    /// Whether it has just started.
-    pub cold: bool,
-    /// Whether another VM keeps its queue, and decides who waits for it.
-    pub kept: bool,
-    /// Whether the object prefers another target that is not offered.
-    pub strange: bool,
-}
-
-/// A request that is at a target.
-#[derive(Debug, Clone)]
-pub struct Sent {
-    /// Identifier of the target.
-    pub target: String,
-    /// Name of the route.
-    pub route: String,
-    /// How far the target is.
-    pub distance: Distance,
-    /// Object that the request concerns, if it says.
-    pub object: Option<String>,
-    /// When it was sent.
-    pub at: Duration,
-    /// What was believed of the target and the object.
-    pub belief: Belief,
-    /// Requests that were taken to be at the target.
-    pub ahead: f64,
-    /// Requests that the target runs at a time.
-    pub slots: f64,
-    /// Time there and back.
-    pub round_trip: Duration,
-}
-
-/// What becomes of a request now.
-#[derive(Debug, Clone)]
-pub enum Decision {
-    /// It goes to a target.
-    Send(Sent),
-    /// It waits for a target.
-    Wait {
-        /// Identifier of the target.
-        target: String,
-    },
-    /// It is refused.
-    Refuse {
-        /// When a target is expected to have room.
-        after: Duration,
-    },
-}
-
 /// What is known of targets and routes.
 #[derive(Debug, Clone, Default)]
 pub struct Board {
@@ -118,9 +20,9 @@
     pub queues: Queues,
     /// How much of each service's work is urgent.
     pub urgency: Urgency,
-    gauges: Map<String, Gauge>,
-    warmth: Warmth,
-    times: Map<String, Times>,
+    pub(crate) gauges: Map<String, Gauge>,
+    pub(crate) warmth: Warmth,
+    pub(crate) times: Map<String, Times>,
 }
 
 impl Board {
@@ -164,111 +66,6 @@
         self.urgency.note(wish.service, wish.turn.priority);
     }
 
-    fn candidates<'a>(
-        &self,
-        wish: &Wish<'_>,
-        places: &[Place<'a>],
-        now: Duration,
-    ) -> Vec<Candidate<'a>> {
-        let key = wish.object.unwrap_or(wish.id);
-        let has_near = places.iter().any(|place| place.distance != Distance::Far);
-        let handicap = if has_near {
-            self.handicap(wish, places)
-        } else {
-            0.0
-        };
-        let mut order: Vec<(f64, &Place<'a>)> = Vec::with_capacity(places.len());
-        for place in places {
-            order.push((preference(key, place, handicap), place));
-        }
-        order.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let leaves = order
-            .first()
-            .is_some_and(|(_, first)| first.distance == Distance::Far);
-        let mut out = Vec::with_capacity(places.len());
-        for (rank, (_, place)) in order.into_iter().enumerate() {
-            let is_far = place.distance == Distance::Far;
-            // An object leaves its region by its order, not by the need of the moment.
-            if (leaves || !is_far) && out.len() < HOMES {
-                out.push(self.candidate(wish, place, leaves == is_far, rank, now));
-            }
-        }
-        out
-    }
-
-    /// What another region costs an object. Work that would only be late there stays: it is
-    /// no relief for this one.
-    fn handicap(&self, wish: &Wish<'_>, places: &[Place<'_>]) -> f64 {
-        let far = places
-            .iter()
-            .filter(|place| place.distance == Distance::Far);
-        let Some(nearest) = far.map(|place| place.round_trip).min() else {
-            return NEVER;
-        };
-        let way = nearest.as_secs_f64();
-        let objective = wish.objective.as_secs_f64();
-        let warm_s = self.times.get(wish.route).map_or(0.0, Times::short);
-        if way + warm_s < FAR_PART * objective {
-            FAR_HANDICAP * way / objective
-        } else {
-            NEVER
-        }
-    }
-
-    fn candidate<'a>(
-        &self,
-        wish: &Wish<'_>,
-        place: &Place<'a>,
-        at_home: bool,
-        rank: usize,
-        now: Duration,
-    ) -> Candidate<'a> {
-        let target = place.target;
-        let gauge = self.gauges.get(&target.id);
-        let slots = f64::from(target.slots);
-        let far = if place.distance == Distance::Far {
-            FAR_EXTRA
-        } else {
-            0.0
-        };
-        let reserved = self
-            .urgency
-            .reserve(wish.service, wish.turn.priority, target.slots);
-        let first = rank == 0 && at_home && !place.strange;
-        let queued = to_f64(self.queues.ahead(&target.id, wish.turn));
-        let belief = self.belief(wish, &target.id, first);
-        let most = if place.kept {
-            f64::INFINITY
-        } else if belief == Belief::Unknown {
-            slots * STRANGER_PART
-        } else {
-            slots + far
-        };
-        Candidate {
-            id: &target.id,
-            limit: most - reserved,
-            slots,
-            ahead: gauge.map_or(0.0, |gauge| gauge.in_flight(now)) + queued,
-            distance: place.distance,
-            at_home,
-            round_trip_s: place.round_trip.as_secs_f64(),
-            rank: if wish.object.is_some() { rank } else { 0 },
-            belief,
-            cold: place.cold,
-            slowness: gauge.map_or(1.0, Gauge::slowness),
-            trouble: gauge.map_or(0.0, |gauge| gauge.trouble(now)),
-        }
-    }
-
-    fn belief(&self, wish: &Wish<'_>, target: &str, first: bool) -> Belief {
-        match wish.object {
-            None => Belief::Known,
-            Some(object) if self.warmth.holds(target, wish.route, object) => Belief::Known,
-            Some(_) if first => Belief::Likely,
-            Some(_) => Belief::Unknown,
-        }
-    }
-
     fn times(&mut self, route: &str, objective: Duration) -> &mut Times {
         let times = self.times.entry(route.to_owned());
         times.or_insert_with(|| Times::new(objective))
@@ -403,17 +200,6 @@
     }
 }
 
-/// How much an object prefers a target: by rendezvous weight, less what another region costs.
-fn preference(key: &str, place: &Place<'_>, handicap: f64) -> f64 {
-    #[allow(clippy::cast_precision_loss, reason = "only the high bits matter")]
-    let drawn = weight(key, &place.target.id) as f64 / u64::MAX as f64;
-    if place.distance == Distance::Far {
-        drawn - handicap
-    } else {
-        drawn
-    }
-}
-
 fn sent(wish: &Wish<'_>, candidate: &Candidate<'_>, now: Duration) -> Sent {
     Sent {
         target: candidate.id.to_owned(),
@@ -436,8 +222,3 @@
 fn count(requests: f64) -> u32 {
     requests as u32
 }
-
-#[allow(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
-fn to_f64(count: usize) -> f64 {
-    count as f64
-}
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -5,6 +5,7 @@
 //! "Decisions".
 
 mod board;
+mod candidates;
 mod choice;
 mod cold;
 mod gauge;
@@ -15,8 +16,9 @@
 mod times;
 mod urgency;
 mod warmth;
+mod wish;
 
-pub use board::{Board, Decision, Place, Sent, Wish};
+pub use board::Board;
 pub use choice::{Ask, Candidate, Distance, Policy, Verdict, choose};
 pub use cold::{Ramp, sponsors};
 pub use gauge::{Gauge, Report};
@@ -27,3 +29,4 @@
 pub use times::{Belief, Times};
 pub use urgency::Urgency;
 pub use warmth::Warmth;
+pub use wish::{Decision, Place, Sent, Wish};
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod body;
 mod parse;
+mod pass;
 mod relayed;
 mod serve;
 mod server;
--- a/crates/gateway/src/front/relayed.rs
+++ b/crates/gateway/src/front/relayed.rs
@@ -5,8 +5,9 @@
         answer::{Answer, plain},
         body,
         parse::Head,
-        serve::{Busy, fingerprint, outgoing},
-        transit::{deliver, exchange, find, learn},
+        pass::direct,
+        serve::{Busy, fingerprint, outgoing, see_through},
+        transit::{deliver, find},
     },
     crate::{
         Node,
@@ -48,16 +49,12 @@
     if work.is_idempotent() {
         return run(&node, &work, &outgoing, &fingerprint).await;
     }
-    // Work that may not be repeated is seen through, also when the other VM has gone.
-    let running = tokio::task::spawn_local(async move {
+    see_through(async move {
         let answer = run(&node, &work, &outgoing, &fingerprint).await;
         drop((busy, content));
         answer
-    });
-    running.await.unwrap_or_else(|error| {
-        log::error!(event = "task_failed", reason:% = error; "request ended without an answer");
-        plain(StatusCode::INTERNAL_SERVER_ERROR, "internal error")
     })
+    .await
 }
 
 fn unserved(reason: &'static str) -> Answer {
@@ -113,8 +110,7 @@
             return answer;
         }
     };
-    let outcome = exchange(node, work, outgoing, &choice).await;
-    learn(node, work, &choice, &outcome, fingerprint);
+    let outcome = direct(node, work, outgoing, &choice, fingerprint).await;
     let sent = choice.sent.clone();
     // The load that is told should not count this request any more.
     drop(choice);
--- a/crates/gateway/src/front/serve.rs
+++ b/crates/gateway/src/front/serve.rs
@@ -78,12 +78,17 @@
     if work.is_idempotent() {
         return transit::run(&node, work, &outgoing, &fingerprint).await;
     }
-    // Work that may not be repeated is seen through, also when the caller has left.
-    let running = tokio::task::spawn_local(async move {
+    see_through(async move {
         let answer = transit::run(&node, work, &outgoing, &fingerprint).await;
         drop((busy, content));
         answer
-    });
+    })
+    .await
+}
+
+/// Sees work that may not be repeated through, also when who asked for it has left.
+pub(super) async fn see_through(work: impl Future<Output = Answer> + 'static) -> Answer {
+    let running = tokio::task::spawn_local(work);
     running.await.unwrap_or_else(|error| {
         log::error!(event = "task_failed", reason:% = error; "request ended without an answer");
         plain(StatusCode::INTERNAL_SERVER_ERROR, "internal error")
--- a/crates/gateway/src/front/transit.rs
+++ b/crates/gateway/src/front/transit.rs
@@ -1,24 +1,21 @@
 //! Sends a request to targets until there is an answer, or none can be had.
 
 use {
-    super::answer::{Answer, plain, refusal},
+    super::{
+        answer::{Answer, plain, refusal},
+        pass::pass,
+    },
     crate::{
         Node,
-        exchange::{
-            Broken, NotRun, Outcome, Outgoing, Response, Way,
-            relay::{Errand, Relayed},
-        },
-        node::{Choice, Keeper, Step, Waiting, Work},
+        exchange::{Outcome, Outgoing, Response},
+        node::{Choice, Step, Waiting, Work},
     },
-    balance::Belief,
     bytes::Bytes,
     http_body_util::Full,
     hyper::{StatusCode, header::CONTENT_LENGTH},
     std::{rc::Rc, time::Duration},
 };
 
-/// Longest wait for a connection; a target that has lost its power says nothing.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Pause after which a waiting request looks again.
 const RECHECK: Duration = Duration::from_millis(20);
 /// Requests with less time left are not sent: no target could answer.
@@ -110,108 +107,6 @@
     }
 }
 
-/// Passes a request to a target, through the VM that keeps its queue if that is another.
-/// The error is the time after which that VM expects room.
-async fn pass(
-    node: &Rc<Node>,
-    work: &Work,
-    outgoing: &Outgoing,
-    choice: &Choice,
-    fingerprint: &str,
-) -> Result<Outcome, Duration> {
-    if let Some(keeper) = &choice.keeper {
-        match relay(node, work, outgoing, choice, keeper).await {
-            Relayed::Done { outcome, ran } => {
-                learn_relayed(node, work, choice, &outcome, ran, fingerprint);
-                return Ok(outcome);
-            }
-            Relayed::Full { after } => return Err(after),
-            Relayed::Unserved => {}
-            Relayed::Unreachable => {
-                log::warn!(event = "keeper_unreachable", vm = keeper.name.as_str(), target = choice.sent.target.as_str(), request = work.id.as_str(); "sending to the target directly");
-                node.avoid(keeper, node.now());
-            }
-            Relayed::Silent(outcome) => {
-                log::warn!(event = "keeper_silent", vm = keeper.name.as_str(), target = choice.sent.target.as_str(), request = work.id.as_str(), outcome = outcome.word(); "no answer from the VM that keeps the target's queue");
-                node.avoid(keeper, node.now());
-                return Ok(outcome);
-            }
-        }
-    }
-    let outcome = exchange(node, work, outgoing, choice).await;
-    learn(node, work, choice, &outcome, fingerprint);
-    Ok(outcome)
-}
-
-async fn relay(
-    node: &Rc<Node>,
-    work: &Work,
-    outgoing: &Outgoing,
-    choice: &Choice,
-    keeper: &Keeper,
-) -> Relayed {
-    let way = Way {
-        target: &choice.sent.target,
-        address: keeper.address,
-        deadline: node.clock.at(work.deadline),
-        connect_timeout: CONNECT_TIMEOUT,
-        alone: false,
-    };
-    let waited = node.now().saturating_sub(work.arrived) + work.asked_before;
-    let errand = Errand {
-        first: choice.sent.belief != Belief::Unknown,
-        waited: waited + choice.sent.round_trip,
-    };
-    node.client
-        .relay(&node.names, outgoing, &way, &errand)
-        .await
-}
-
-/// Takes what an exchange through another VM tells; that VM looks after the target.
-fn learn_relayed(
-    node: &Rc<Node>,
-    work: &Work,
-    choice: &Choice,
-    outcome: &Outcome,
-    ran: Option<Duration>,
-    fingerprint: &str,
-) {
-    let now = node.now();
-    let sent = &choice.sent;
-    note_exchange(work, choice, outcome, now);
-    match outcome {
-        Outcome::Answered(response) => {
-            let mut board = node.board.borrow_mut();
-            board.relayed(sent, response.report, ran, now);
-            node.quarantine.borrow_mut().succeed(fingerprint);
-        }
-        Outcome::NotRun {
-            why: NotRun::Unreachable,
-            ..
-        } => fail(node, work, choice, now),
-        Outcome::NotRun { report, .. } => {
-            let mut board = node.board.borrow_mut();
-            board.turned_away(&sent.target, *report, now);
-        }
-        Outcome::Broken(why) => {
-            let mut board = node.board.borrow_mut();
-            board.turned_away(&sent.target, None, now);
-            if *why == Broken::Lost {
-                crate::peers::suspect_crash(node, choice.address, fingerprint);
-            }
-        }
-        Outcome::TimedOut => {}
-    }
-}
-
-fn note_exchange(work: &Work, choice: &Choice, outcome: &Outcome, now: Duration) {
-    let sent = &choice.sent;
-    let took_ms = u64::try_from(now.saturating_sub(sent.at).as_millis()).unwrap_or(u64::MAX);
-    let through = choice.keeper.as_ref().map_or("", |keeper| &keeper.name);
-    log::info!(event = "exchange", request = work.id.as_str(), target = sent.target.as_str(), through = through, outcome = outcome.word(), belief:? = sent.belief, ahead = sent.ahead, took_ms = took_ms; "exchange ended");
-    metrics::counter!("cicadalift_exchanges_total", "outcome" => outcome.word()).increment(1);
-}
-
 /// Finds a target, after a wait if that leaves time for an answer.
 pub(super) async fn find(node: &Rc<Node>, work: &Work) -> Result<Choice, Duration> {
     let mut place: Option<(String, Waiting)> = None;
@@ -234,22 +129,6 @@
     }
 }
 
-pub(super) async fn exchange(
-    node: &Rc<Node>,
-    work: &Work,
-    outgoing: &Outgoing,
-    choice: &Choice,
-) -> Outcome {
-    let way = Way {
-        target: &choice.sent.target,
-        address: choice.address,
-        deadline: node.clock.at(work.deadline),
-        connect_timeout: CONNECT_TIMEOUT,
-        alone: !work.is_idempotent(),
-    };
-    node.client.send(&node.names, outgoing, &way).await
-}
-
 fn late() -> Failure {
     Failure::NotRun {
         reason: "no time left",
@@ -267,59 +146,6 @@
     }
 }
 
-/// Takes what an exchange tells of the target and the request.
-pub(super) fn learn(
-    node: &Rc<Node>,
-    work: &Work,
-    choice: &Choice,
-    outcome: &Outcome,
-    fingerprint: &str,
-) {
-    let now = node.now();
-    let sent = &choice.sent;
-    note_exchange(work, choice, outcome, now);
-    match outcome {
-        Outcome::Answered(response) => {
-            node.board.borrow_mut().answered(sent, response.report, now);
-            node.quarantine.borrow_mut().succeed(fingerprint);
-        }
-        Outcome::NotRun {
-            why: NotRun::Shed,
-            report,
-            ..
-        } => {
-            node.board
-                .borrow_mut()
-                .turned_away(&sent.target, *report, now);
-        }
-        Outcome::NotRun {
-            why: NotRun::Unsent,
-            ..
-        }
-        | Outcome::TimedOut => {}
-        Outcome::NotRun { .. } => fail(node, work, choice, now),
-        Outcome::Broken(Broken::Lost) => {
-            fail(node, work, choice, now);
-            // The VM that handed the request over counts, as it sees all its targets.
-            if work.only.is_none() {
-                crate::peers::suspect_crash(node, choice.address, fingerprint);
-            }
-        }
-        Outcome::Broken(_) => {
-            node.board.borrow_mut().turned_away(&sent.target, None, now);
-        }
-    }
-}
-
-fn fail(node: &Rc<Node>, work: &Work, choice: &Choice, now: Duration) {
-    let may_eject = node.may_eject(&work.service);
-    let target = &choice.sent.target;
-    node.client.forget(choice.address);
-    if node.board.borrow_mut().failed(target, may_eject, now) {
-        log::warn!(event = "target_ejected", target = target.as_str(), request = work.id.as_str(); "target is not used for a while");
-    }
-}
-
 fn finish(node: &Rc<Node>, work: &Work, result: Result<Response, Failure>) -> Answer {
     let took = node.now().saturating_sub(work.arrived);
     let (answer, outcome) = match result {
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! What one VM knows, each part behind its own borrow that is never held across an await.
 
 mod changes;
+mod choose;
 mod directory;
 mod keepers;
 mod state;
