Probe the other VMs from one's own name on

In its log no VM doubts another after second 30, when all were killed and started together: each went through the others from the first name on, in step, so that at any moment all 81 probed the same VM, and the last ones after 40 s.

Ruled out: VMs without processor time (0.02 cores of 0.1 and more), lost news.

Change: a VM begins behind its own name. VMs that start together then probe different ones, and each is probed twice a second by someone.

Test: vms_that_start_together_probe_different_members, seen failing (all probe "a").

--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -53,11 +53,12 @@
     #[must_use]
     pub fn new(me: Member, timing: Timing) -> Self {
         Self {
+            // VMs that start together begin with different members.
+            next_probe: me.name.clone(),
             me,
             others: BTreeMap::new(),
             timing,
             heard_at: Duration::ZERO,
-            next_probe: String::new(),
             generation: 0,
         }
     }
--- a/crates/member/tests/view.rs
+++ b/crates/member/tests/view.rs
@@ -127,3 +127,22 @@
         assert_eq!(owner.name, "near");
     }
 }
+
+/// Pattern: power comes back everywhere, and all VMs start in the same moment. If they went
+/// through the others in the same order, nobody would look at the last one for a whole round.
+#[test]
+fn vms_that_start_together_probe_different_members() {
+    let all = ["a", "b", "c", "d", "e", "f"];
+    let mut views = all.map(|name| View::new(member(name, 1, 0, Status::Alive), Timing::default()));
+    for view in &mut views {
+        view.merge(&all.map(|name| member(name, 1, 0, Status::Alive)), at(1));
+    }
+
+    for _ in 0..5 {
+        let probed = views.each_mut().map(View::next_probe);
+        let mut probed = probed.map(|member| member.map(|member| member.name));
+        probed.sort();
+
+        assert_eq!(probed, all.map(|name| Some(name.to_owned())));
+    }
+}
