--- a/crates/balance/src/candidates.rs
+++ b/crates/balance/src/candidates.rs
@@ -23,6 +23,7 @@
 const FAR_PART: f64 = 0.6;
 
 impl Board {
+    /// The first targets of the object's order, of its region or of others.
     pub(crate) fn candidates<'a>(
         &self,
         wish: &Wish<'_>,
