Note an answer in one way, see work through in one way, ask for sponsors of cold targets only

Cause, from reading the whole change again: `Board::answered` and `Board::relayed` noted the same things in two copies; `serve` and `relayed` both chose between running work and seeing it through; and each request that was sent ranked all VMs for its target's sponsors, though only cold targets have them.

Ruled out: joining `learn` and `learn_relayed`, which treat a lost connection and a target that turned a request away in different ways on purpose; `Sent::distance`, which only tests read, as their assertions stand.

Change: `Board::note_success`, `serve::conduct`, and the sponsors are worked out for cold targets alone. Behaviour is the same.

--- a/crates/balance/src/board.rs
+++ b/crates/balance/src/board.rs
@@ -88,22 +88,14 @@
     /// Learns from an answer.
     pub fn answered(&mut self, sent: &Sent, report: Option<Report>, now: Duration) {
         let ran = now.saturating_sub(sent.at).saturating_sub(sent.round_trip);
-        let gauge = self.gauges.entry(sent.target.clone()).or_default();
-        gauge.health.succeed();
-        gauge.note_trouble(false, now);
-        gauge.note_stay(ran.as_secs_f64());
-        if let Some(report) = report {
-            gauge.report(report, now);
-        }
-        if let Some(object) = &sent.object {
-            self.warmth.note(&sent.target, &sent.route, object);
-        }
+        self.note_success(sent, report, ran, now);
         let waited = sent.ahead >= sent.slots || report.is_some_and(|report| report.waiting > 0);
         let Some(times) = self.times.get_mut(&sent.route) else {
             return;
         };
         if !waited {
             if sent.belief == Belief::Known {
+                let gauge = self.gauges.entry(sent.target.clone()).or_default();
                 gauge.note_time(ran.as_secs_f64(), times.expect(sent.belief));
             }
             times.note(sent.belief, ran);
@@ -118,19 +110,24 @@
         ran: Option<Duration>,
         now: Duration,
     ) {
-        let gauge = self.gauges.entry(sent.target.clone()).or_default();
+        self.note_success(sent, report, now.saturating_sub(sent.at), now);
+        if let (Some(ran), Some(times)) = (ran, self.times.get_mut(&sent.route)) {
+            times.note(sent.belief, ran);
+        }
+    }
+
+    /// Notes an answer, whichever way it came, and how long the request stayed.
+    fn note_success(&mut self, sent: &Sent, report: Option<Report>, stay: Duration, now: Duration) {
+        let gauge = self.gauge(&sent.target);
         gauge.health.succeed();
         gauge.note_trouble(false, now);
-        gauge.note_stay(now.saturating_sub(sent.at).as_secs_f64());
+        gauge.note_stay(stay.as_secs_f64());
         if let Some(report) = report {
             gauge.report(report, now);
         }
         if let Some(object) = &sent.object {
             self.warmth.note(&sent.target, &sent.route, object);
         }
-        if let (Some(ran), Some(times)) = (ran, self.times.get_mut(&sent.route)) {
-            times.note(sent.belief, ran);
-        }
     }
 
     /// Requests at a target and in its queue here.
--- a/crates/gateway/src/front/relayed.rs
+++ b/crates/gateway/src/front/relayed.rs
@@ -6,7 +6,7 @@
         body,
         parse::Head,
         pass::direct,
-        serve::{Busy, fingerprint, outgoing, see_through},
+        serve::{Busy, conduct, fingerprint, outgoing},
         transit::{deliver, find},
     },
     crate::{
@@ -46,10 +46,7 @@
     node.note_offered(&work);
     let fingerprint = fingerprint(&work, &parts, &content);
     let outgoing = outgoing(&head, parts, &content);
-    if work.is_idempotent() {
-        return run(&node, &work, &outgoing, &fingerprint).await;
-    }
-    see_through(async move {
+    conduct(work.is_idempotent(), async move {
         let answer = run(&node, &work, &outgoing, &fingerprint).await;
         drop((busy, content));
         answer
--- a/crates/gateway/src/front/serve.rs
+++ b/crates/gateway/src/front/serve.rs
@@ -75,10 +75,7 @@
     node.note_offered(&work);
     let fingerprint = fingerprint(&work, &parts, &content);
     let outgoing = outgoing(&head, parts, &content);
-    if work.is_idempotent() {
-        return transit::run(&node, work, &outgoing, &fingerprint).await;
-    }
-    see_through(async move {
+    conduct(work.is_idempotent(), async move {
         let answer = transit::run(&node, work, &outgoing, &fingerprint).await;
         drop((busy, content));
         answer
@@ -86,8 +83,15 @@
     .await
 }
 
-/// Sees work that may not be repeated through, also when who asked for it has left.
-pub(super) async fn see_through(work: impl Future<Output = Answer> + 'static) -> Answer {
+/// Runs work that may be repeated as long as who asked for it is there, and sees other work
+/// through.
+pub(super) async fn conduct(
+    is_idempotent: bool,
+    work: impl Future<Output = Answer> + 'static,
+) -> Answer {
+    if is_idempotent {
+        return work.await;
+    }
     let running = tokio::task::spawn_local(work);
     running.await.unwrap_or_else(|error| {
         log::error!(event = "task_failed", reason:% = error; "request ended without an answer");
--- a/crates/gateway/src/node/choose.rs
+++ b/crates/gateway/src/node/choose.rs
@@ -34,7 +34,7 @@
             };
         };
         let target = place.target;
-        let bound = self.cold_bound(target).filter(|_| place.cold);
+        let bound = place.cold.then(|| self.cold_bound(target)).flatten();
         self.board.borrow_mut().start(&sent, bound, now);
         let keeper = self.keeper_for(work, target, place.cold, now);
         let choice = Choice::new(self, sent, target.address, keeper);
