Serve download routes, and let no unknown value cost other routes

Cause: on the new deployment no request was served. Each VM rejected the whole configuration (row_unused, unknown variant 'download') and answered 503 for good. Two faults in one: the kind was not known, and one value that is not known cost every route. Ruled out: the directory and the store, whose lines in the log are as on the earlier deployments.

Change: route::Kind has Idempotent, Download and NonIdempotent. A kind that is not known means at most once, with a warning and a metric. Another field, a service or a row that cannot be understood makes that route unusable: it keeps its host and prefix and answers 503 with a time to come back. Validation of the route table does the same, one route at a time.

--- a/crates/gateway/src/frontend/relayed.rs
+++ b/crates/gateway/src/frontend/relayed.rs
@@ -84,7 +84,7 @@
     let waited_ms = waited_ms.and_then(|value| value.to_str().ok()?.parse().ok());
     let head = RequestHead::parse(&node.header_names, parts).ok()?;
     let table = node.route_table();
-    let route = table.find_route(&head.host, parts.uri.path())?.clone();
+    let route = table.find_route(&head.host, parts.uri.path()).ok()?.clone();
     let catalog = node.catalog.borrow();
     if node.leaving_since().is_some() || !catalog.is_usable(&target) {
         return None;
--- a/crates/gateway/src/frontend/serve.rs
+++ b/crates/gateway/src/frontend/serve.rs
@@ -9,7 +9,7 @@
     },
     crate::{Node, http_client::TargetRequest, node::RequestContext},
     hyper::{Request, StatusCode, body::Incoming, http::request},
-    route::Route,
+    route::{LookupError, Route, RouteTable},
     std::{rc::Rc, sync::Arc, time::Duration},
     xxhash_rust::xxh3::Xxh3,
 };
@@ -18,6 +18,8 @@
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// A VM that is shutting down accepts requests for this long, so that callers find other VMs.
 const ACCEPT_WHILE_LEAVING: Duration = Duration::from_millis(2900);
+/// `Retry-After` of a route that cannot be served before the operator changes it.
+const UNUSABLE_ROUTE_RETRY_AFTER: Duration = Duration::from_secs(5);
 const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(50);
 const OUT_OF_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -132,13 +134,28 @@
         )));
     }
     let table = node.route_table();
-    let Some(route) = table.find_route(&head.host, parts.uri.path()) else {
-        log::info!(event = "request_refused", request = id, status = 404, reason = "no route", host = head.host.as_str(), version = table.version(); "request refused: no route matches its host and path");
-        return Err(Box::new(text_response(StatusCode::NOT_FOUND, "no route")));
-    };
+    let route = table
+        .find_route(&head.host, parts.uri.path())
+        .map_err(|error| Box::new(no_route_response(&head, &table, error)))?;
     Ok((head, route.clone()))
 }
 
+fn no_route_response(head: &RequestHead, table: &RouteTable, error: LookupError) -> HttpResponse {
+    let id = head.request_id.to_str().unwrap_or_default();
+    let host = head.host.as_str();
+    let version = table.version();
+    match error {
+        LookupError::NoMatch => {
+            log::info!(event = "request_refused", request = id, status = 404, reason = "no route", host = host, version = version; "request refused: no route matches its host and path");
+            text_response(StatusCode::NOT_FOUND, "no route")
+        }
+        LookupError::Unusable => {
+            log::info!(event = "request_refused", request = id, status = 503, reason = "unusable route", host = host, version = version; "request refused: its route could not be understood");
+            unavailable_response("unusable route", UNUSABLE_ROUTE_RETRY_AFTER)
+        }
+    }
+}
+
 fn malformed_head_response(error: HeadError) -> HttpResponse {
     let reason = match error {
         HeadError::Host => "host is missing or repeated",
--- a/crates/gateway/src/node/changes.rs
+++ b/crates/gateway/src/node/changes.rs
@@ -3,20 +3,20 @@
 use {
     super::{Node, state::duration_ms},
     catalog::{Target, TargetState},
-    route::RouteConfiguration,
+    route::{RouteConfiguration, RouteTable, Warning},
     std::{rc::Rc, time::Duration},
 };
 
 impl Node {
-    /// Replaces the route table with one built from a configuration. If the configuration is
-    /// invalid, the whole of it is rejected and the current table stays in force.
-    pub(crate) fn apply_routes(&self, configuration: RouteConfiguration, row_version: u64) {
+    /// Replaces the route table with one built from a configuration, unless that is out of date.
+    pub(crate) fn apply_routes(&self, mut configuration: RouteConfiguration, row_version: u64) {
         let version = configuration.version;
+        let warnings = std::mem::take(&mut configuration.warnings);
         let result = self.route_table().with_configuration(configuration);
         match result {
             Ok(table) => {
-                log::info!(event = "routes_in_force", version = version, row = row_version, routes = table.len(); "route configuration applied");
-                metrics::gauge!("cicadalift_routes").set(to_f64(table.len()));
+                log::info!(event = "routes_in_force", version = version, row = row_version, routes = table.len(), unusable = table.unusable_routes().len(); "route configuration applied");
+                report_configuration(&table, &warnings);
                 *self.route_table.borrow_mut() = Rc::new(table);
                 self.service_rotations.borrow_mut().clear();
             }
@@ -100,6 +100,20 @@
     }
 }
 
+/// Logs what was not understood of a configuration and updates the metrics of its routes.
+fn report_configuration(table: &RouteTable, warnings: &[Warning]) {
+    let version = table.version();
+    for warning in warnings {
+        log::warn!(event = "configuration_unclear", subject = warning.subject.as_str(), reason = warning.reason.as_str(), version = version; "part of the configuration was not understood; a safe value holds in its place");
+    }
+    for route in table.unusable_routes() {
+        log::warn!(event = "route_unusable", route = route.name.as_str(), host = route.host.as_str(), prefix = route.prefix.as_str(), reason = route.reason.as_str(), version = version; "route cannot be served; its requests are refused until the configuration changes");
+    }
+    metrics::gauge!("cicadalift_routes").set(to_f64(table.len()));
+    metrics::gauge!("cicadalift_routes_unusable").set(to_f64(table.unusable_routes().len()));
+    metrics::gauge!("cicadalift_configuration_warnings").set(to_f64(warnings.len()));
+}
+
 #[allow(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
 fn to_f64(count: usize) -> f64 {
     count as f64
--- a/crates/gateway/src/node/request.rs
+++ b/crates/gateway/src/node/request.rs
@@ -3,7 +3,7 @@
 use {
     super::{Node, QueueOwner},
     balance::{Dispatch, PendingRequest, QueueKey},
-    route::{Idempotency, Route},
+    route::Route,
     std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
 };
 
@@ -56,7 +56,7 @@
 
     /// Returns whether the request may run more than once.
     pub(crate) fn is_idempotent(&self) -> bool {
-        self.route.idempotency == Idempotency::Idempotent
+        self.route.kind.is_idempotent()
     }
 }
 
--- a/crates/route/src/configuration.rs
+++ b/crates/route/src/configuration.rs
@@ -2,15 +2,28 @@
 
 use std::time::Duration;
 
-/// Whether requests are idempotent.
+/// How often a request may run, and what its responses are like.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Idempotency {
+pub enum Kind {
     /// A request may run any number of times.
     Idempotent,
+    /// A request may run any number of times, and its responses are large.
+    Download,
     /// A request runs at most once for each attempt of a caller.
     NonIdempotent,
 }
 
+impl Kind {
+    /// Returns whether a request may run more than once.
+    #[must_use]
+    pub fn is_idempotent(self) -> bool {
+        match self {
+            Self::Idempotent | Self::Download => true,
+            Self::NonIdempotent => false,
+        }
+    }
+}
+
 /// A service that receives a share of a route's requests.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WeightedService {
@@ -29,8 +42,8 @@
     pub host: String,
     /// Path prefix that requests must have; begins and ends with a slash.
     pub prefix: String,
-    /// Whether requests are idempotent.
-    pub idempotency: Idempotency,
+    /// How often a request may run, and what its responses are like.
+    pub kind: Kind,
     /// Longest time until a request is answered.
     pub timeout: Duration,
     /// Latency objective: the time within which a response has its full value.
@@ -47,6 +60,30 @@
     pub services: Vec<WeightedService>,
 }
 
+/// A route that cannot be served, because a part of it is invalid or cannot be understood.
+///
+/// It keeps its host and prefix, so that no route with a shorter prefix gets its requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UnusableRoute {
+    /// Name of the route; empty if it cannot be read.
+    pub name: String,
+    /// Host that requests must name; empty if it cannot be read.
+    pub host: String,
+    /// Path prefix that requests must have; empty if it cannot be read.
+    pub prefix: String,
+    /// Why the route cannot be served.
+    pub reason: String,
+}
+
+/// A part of a configuration that was not understood and was replaced or left out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Warning {
+    /// Route or service that has the part.
+    pub subject: String,
+    /// What was not understood, and what holds in its place.
+    pub reason: String,
+}
+
 /// The configuration of a service.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Service {
@@ -87,8 +124,12 @@
 pub struct RouteConfiguration {
     /// Version, which increases with each configuration.
     pub version: u64,
-    /// All routes.
+    /// All routes that were understood.
     pub routes: Vec<Route>,
+    /// Routes that were not understood.
+    pub unusable_routes: Vec<UnusableRoute>,
+    /// Parts that were not understood and do not prevent their route from being served.
+    pub warnings: Vec<Warning>,
     /// All services.
     pub services: Vec<Service>,
     /// Limits on callers.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,14 +1,16 @@
 //! The routing table: which services run a request, and under which limits.
 //!
-//! A [`RouteTable`] is built from a whole [`RouteConfiguration`] or not at all, so that no VM
-//! serves a partly applied configuration. See `docs/PLATFORM.md`, section "Routes".
+//! A [`RouteTable`] replaces the previous one as a whole. A route that is invalid refuses its own
+//! requests and affects no other. See `docs/PLATFORM.md`, section "Routes".
 
 mod configuration;
 mod error;
 mod route_table;
 mod weighted_round_robin;
 
-pub use configuration::{Idempotency, Limits, Route, RouteConfiguration, Service, WeightedService};
-pub use error::RouteError;
+pub use configuration::{
+    Kind, Limits, Route, RouteConfiguration, Service, UnusableRoute, Warning, WeightedService,
+};
+pub use error::{LookupError, RouteError, StaleConfiguration};
 pub use route_table::RouteTable;
 pub use weighted_round_robin::WeightedRoundRobin;
--- a/crates/route/src/route_table.rs
+++ b/crates/route/src/route_table.rs
@@ -1,32 +1,45 @@
 //! The routing table, which matches requests by host and longest path prefix.
 
 use {
-    crate::{Limits, Route, RouteConfiguration, RouteError, Service},
+    crate::{
+        Limits, LookupError, Route, RouteConfiguration, RouteError, Service, StaleConfiguration,
+        UnusableRoute,
+    },
     std::sync::Arc,
     wire::Map,
 };
 
+/// What a host and prefix lead to.
+#[derive(Debug, Clone)]
+enum Entry {
+    Usable(Arc<Route>),
+    Unusable,
+}
+
 /// A validated configuration, indexed for lookups.
 #[derive(Debug, Clone, Default)]
 pub struct RouteTable {
     version: u64,
-    hosts: Map<String, Map<String, Arc<Route>>>,
+    hosts: Map<String, Map<String, Entry>>,
     services: Map<String, Service>,
     limits: Limits,
     route_count: usize,
+    unusable_routes: Vec<UnusableRoute>,
 }
 
 impl RouteTable {
     /// Validates a configuration and builds the table that replaces this one.
     ///
+    /// A route that is invalid becomes an unusable one; the others are not affected.
+    ///
     /// # Errors
-    /// Returns the first [`RouteError`] found. The caller then keeps this table.
+    /// [`StaleConfiguration`] if the configuration is not newer. The caller then keeps this table.
     pub fn with_configuration(
         &self,
         configuration: RouteConfiguration,
-    ) -> Result<Self, RouteError> {
+    ) -> Result<Self, StaleConfiguration> {
         if configuration.version <= self.version {
-            return Err(RouteError::Stale {
+            return Err(StaleConfiguration {
                 offered: configuration.version,
                 current: self.version,
             });
@@ -37,62 +50,99 @@
             hosts: Map::default(),
             services: services.map(|s| (s.name.clone(), s)).collect(),
             limits: configuration.limits,
-            route_count: configuration.routes.len(),
+            route_count: 0,
+            unusable_routes: Vec::new(),
         };
         for route in configuration.routes {
-            table.add_route(route)?;
+            table.add_route(route);
+        }
+        for unusable in configuration.unusable_routes {
+            table.add_unusable_route(unusable);
         }
         Ok(table)
     }
 
-    fn add_route(&mut self, route: Route) -> Result<(), RouteError> {
-        self.validate_route(&route)?;
-        let prefixes = self
-            .hosts
-            .entry(route.host.to_ascii_lowercase())
-            .or_default();
-        let name = route.name.clone();
-        let previous = prefixes.insert(route.prefix.clone(), Arc::new(route));
-        match previous {
-            Some(_) => Err(RouteError::DuplicateMatch(name)),
-            None => Ok(()),
+    fn add_route(&mut self, route: Route) {
+        if let Err(error) = self.validate_route(&route) {
+            self.add_unusable_route(UnusableRoute {
+                name: route.name,
+                host: route.host,
+                prefix: route.prefix,
+                reason: error.to_string(),
+            });
+            return;
         }
+        self.route_count += 1;
+        let prefix = route.prefix.clone();
+        self.prefixes_mut(&route.host)
+            .insert(prefix, Entry::Usable(Arc::new(route)));
+    }
+
+    /// Keeps the host and prefix of an unusable route, unless another route has the same ones.
+    fn add_unusable_route(&mut self, unusable: UnusableRoute) {
+        let mut prefix = unusable.prefix.clone();
+        if !prefix.ends_with('/') {
+            prefix.push('/');
+        }
+        self.prefixes_mut(&unusable.host)
+            .entry(prefix)
+            .or_insert(Entry::Unusable);
+        self.unusable_routes.push(unusable);
+    }
+
+    fn prefixes_mut(&mut self, host: &str) -> &mut Map<String, Entry> {
+        self.hosts.entry(host.to_ascii_lowercase()).or_default()
     }
 
     fn validate_route(&self, route: &Route) -> Result<(), RouteError> {
-        let name = || route.name.clone();
         if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
-            return Err(RouteError::InvalidPrefix(name()));
+            return Err(RouteError::InvalidPrefix);
         }
         if route.timeout.is_zero() || route.max_attempts == 0 {
-            return Err(RouteError::ZeroLimit(name()));
+            return Err(RouteError::ZeroLimit);
         }
         if route.services.is_empty() {
-            return Err(RouteError::NoService(name()));
+            return Err(RouteError::NoService);
         }
         if route.services.iter().all(|service| service.weight == 0) {
-            return Err(RouteError::ZeroWeight(name()));
+            return Err(RouteError::ZeroWeight);
         }
         let is_unknown =
             |weighted: &&crate::WeightedService| !self.services.contains_key(&weighted.service);
-        match route.services.iter().find(is_unknown) {
-            None => Ok(()),
-            Some(weighted) => Err(RouteError::UnknownService {
-                route: name(),
-                service: weighted.service.clone(),
-            }),
+        if let Some(weighted) = route.services.iter().find(is_unknown) {
+            return Err(RouteError::UnknownService(weighted.service.clone()));
+        }
+        let prefixes = self.hosts.get(&route.host.to_ascii_lowercase());
+        if prefixes.is_some_and(|prefixes| prefixes.contains_key(&route.prefix)) {
+            return Err(RouteError::DuplicateMatch);
         }
+        Ok(())
     }
 
-    /// Returns the route of the host with the longest prefix of the path, or `None` if no route
-    /// matches.
+    /// Returns the route of the host with the longest prefix of the path.
     ///
     /// The cost depends on the number of slashes in the path, not on the number of routes.
-    #[must_use]
-    pub fn find_route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        let prefixes = self.hosts.get(&host.to_ascii_lowercase())?;
+    ///
+    /// # Errors
+    /// [`LookupError::NoMatch`] if no route matches, and [`LookupError::Unusable`] if the one that
+    /// matches cannot be served.
+    pub fn find_route(&self, host: &str, path: &str) -> Result<&Arc<Route>, LookupError> {
+        let prefixes = self
+            .hosts
+            .get(&host.to_ascii_lowercase())
+            .ok_or(LookupError::NoMatch)?;
         let mut prefix_ends = path.match_indices('/').rev().map(|(slash, _)| slash + 1);
-        prefix_ends.find_map(|end| prefixes.get(&path[..end]))
+        match prefix_ends.find_map(|end| prefixes.get(&path[..end])) {
+            Some(Entry::Usable(route)) => Ok(route),
+            Some(Entry::Unusable) => Err(LookupError::Unusable),
+            None => Err(LookupError::NoMatch),
+        }
+    }
+
+    /// Returns the routes that refuse their requests because they cannot be served.
+    #[must_use]
+    pub fn unusable_routes(&self) -> &[UnusableRoute] {
+        &self.unusable_routes
     }
 
     /// Returns the service with the given name, or `None` if it is not configured.
@@ -118,13 +168,13 @@
         &self.limits
     }
 
-    /// Returns the number of routes.
+    /// Returns the number of routes that can be served.
     #[must_use]
     pub fn len(&self) -> usize {
         self.route_count
     }
 
-    /// Returns whether there are no routes.
+    /// Returns whether no route can be served.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.route_count == 0
