Pass long responses on while they arrive

Cause: each body was read whole at the VM that owns the target's queue and again at the VM that the caller reached. With bodies of 90 KB on links of 10 Mbit/s, each hop adds the time of the whole body, and bodies of responses were not counted against the memory of the process.

Change: a body of known length above 16 KiB is passed on frame by frame, at both VMs. Its head is checked as before. If its connection breaks, the deadline passes or the receiver leaves, the connection to the receiver is broken off, so that a part never looks complete. Bodies of requests and responses share a quarter of the process's memory; a streamed one counts 128 KiB, a download that does not fit is refused before it is sent. Other bodies are buffered as before.

--- a/crates/gateway/src/frontend/attempt.rs
+++ b/crates/gateway/src/frontend/attempt.rs
@@ -4,7 +4,7 @@
     crate::{
         Node,
         http_client::{
-            Attempt, NotExecutedReason, Outcome, ResponseFault, TargetRequest,
+            Attempt, NotExecutedReason, Outcome, ResponseFault, StreamEnd, TargetRequest,
             relay::{RelayContext, RelayOutcome},
         },
         node::{QueueOwner, RequestContext, Reservation},
@@ -41,7 +41,7 @@
                     running_time,
                     fingerprint,
                 );
-                return Ok(outcome);
+                return Ok(observe_body(node, context, reservation, outcome));
             }
             RelayOutcome::Full { retry_after } => return Err(retry_after),
             RelayOutcome::NotServed => {}
@@ -165,6 +165,33 @@
         .send_to_target(&node.header_names, request, &attempt)
         .await;
     record_outcome(node, context, reservation, &outcome, fingerprint);
+    observe_body(node, context, reservation, outcome)
+}
+
+/// Records how a streamed body ends: a target that breaks it off has failed.
+fn observe_body(
+    node: &Rc<Node>,
+    context: &RequestContext,
+    reservation: &Reservation,
+    mut outcome: Outcome,
+) -> Outcome {
+    let Outcome::Answered(response) = &mut outcome else {
+        return outcome;
+    };
+    let node = node.clone();
+    let request_id = context.id.clone();
+    let target = reservation.dispatch.target.clone();
+    response.body.on_end(move |end| {
+        metrics::counter!("cicadalift_streams_total", "end" => end.as_str()).increment(1);
+        if end == StreamEnd::Complete {
+            return;
+        }
+        log::info!(event = "response_cut", request = request_id.as_str(), target = target.as_str(), reason = end.as_str(); "response broken off while its body was passed on");
+        if end == StreamEnd::Truncated {
+            let now = node.now();
+            node.balancer.borrow_mut().record_rejection(&target, None, now);
+        }
+    });
     outcome
 }
 
--- a/crates/gateway/src/frontend/body.rs
+++ b/crates/gateway/src/frontend/body.rs
@@ -1,16 +1,16 @@
 //! Buffers request bodies within limits on size, time and memory.
 
 use {
-    crate::Node,
+    crate::{
+        Node,
+        memory::{MemoryReservation, OutOfMemory},
+    },
     bytes::{Bytes, BytesMut},
     http_body_util::BodyExt,
     hyper::body::{Body, Incoming},
     std::{rc::Rc, time::Duration},
 };
 
-/// Request bodies may take the process's memory limit divided by this number.
-const MEMORY_DIVISOR: usize = 4;
-
 /// Why a request body could not be buffered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum BodyError {
@@ -20,8 +20,8 @@
     TimedOut,
     #[error("connection failed before the end of the request body")]
     Incomplete,
-    #[error("request bodies exceed the memory limit")]
-    OutOfMemory,
+    #[error("{0}")]
+    OutOfMemory(#[from] OutOfMemory),
 }
 
 /// A buffered request body. Its memory stays reserved until it is dropped.
@@ -30,33 +30,6 @@
     _reservation: MemoryReservation,
 }
 
-/// Memory counted against the limit for request bodies, released on drop.
-struct MemoryReservation {
-    node: Rc<Node>,
-    bytes: usize,
-}
-
-impl MemoryReservation {
-    fn grow(&mut self, bytes: usize) -> Result<(), BodyError> {
-        let total_bytes = self.node.buffered_bytes.get() + bytes;
-        if total_bytes > self.node.settings.memory_bytes / MEMORY_DIVISOR {
-            return Err(BodyError::OutOfMemory);
-        }
-        self.node.buffered_bytes.set(total_bytes);
-        self.bytes += bytes;
-        Ok(())
-    }
-}
-
-impl Drop for MemoryReservation {
-    fn drop(&mut self) {
-        let total_bytes = self.node.buffered_bytes.get();
-        self.node
-            .buffered_bytes
-            .set(total_bytes.saturating_sub(self.bytes));
-    }
-}
-
 /// Reads a whole request body. Fails if it is larger than `max_bytes`, exceeds the memory limit or
 /// is not complete by `deadline`, a time since the start of the process.
 pub(crate) async fn read(
@@ -80,10 +53,7 @@
     mut body: Incoming,
     max_bytes: usize,
 ) -> Result<BufferedBody, BodyError> {
-    let mut reservation = MemoryReservation {
-        node: node.clone(),
-        bytes: 0,
-    };
+    let mut reservation = node.client.memory.empty_reservation();
     let mut buffer = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| BodyError::Incomplete)?;
--- a/crates/gateway/src/frontend/response.rs
+++ b/crates/gateway/src/frontend/response.rs
@@ -1,8 +1,8 @@
 //! HTTP responses that a VM generates itself.
 
 use {
+    crate::ResponseBody,
     bytes::Bytes,
-    http_body_util::Full,
     hyper::{
         Response, StatusCode,
         header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
@@ -10,15 +10,15 @@
     std::time::Duration,
 };
 
-/// An HTTP response with a buffered body.
-pub type HttpResponse = Response<Full<Bytes>>;
+/// An HTTP response whose body is buffered or streamed.
+pub type HttpResponse = Response<ResponseBody>;
 
 /// Shortest delay that a `Retry-After` header states.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
 
 /// Creates a plain-text response.
 pub(crate) fn text_response(status: StatusCode, text: &'static str) -> HttpResponse {
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    let mut response = Response::new(Bytes::from_static(text.as_bytes()).into());
     *response.status_mut() = status;
     let content_type = HeaderValue::from_static("text/plain");
     response.headers_mut().insert(CONTENT_TYPE, content_type);
--- a/crates/gateway/src/frontend/retry.rs
+++ b/crates/gateway/src/frontend/retry.rs
@@ -10,8 +10,6 @@
         http_client::{Outcome, TargetRequest, TargetResponse},
         node::{QueueEntry, RequestContext, Reservation, Selection},
     },
-    bytes::Bytes,
-    http_body_util::Full,
     hyper::{StatusCode, header::CONTENT_LENGTH},
     std::{rc::Rc, time::Duration},
 };
@@ -211,7 +209,7 @@
     let mut headers = target_response.headers;
     super::head::remove_hop_by_hop_headers(&mut headers);
     headers.remove(CONTENT_LENGTH);
-    let mut response = HttpResponse::new(Full::<Bytes>::new(target_response.body));
+    let mut response = HttpResponse::new(target_response.body);
     *response.status_mut() = target_response.status;
     *response.headers_mut() = headers;
     response
--- a/crates/gateway/src/frontend/serve.rs
+++ b/crates/gateway/src/frontend/serve.rs
@@ -7,9 +7,14 @@
         response::{HttpResponse, text_response, unavailable_response},
         retry,
     },
-    crate::{Node, http_client::TargetRequest, node::RequestContext},
+    crate::{
+        Node,
+        http_client::{TargetRequest, has_memory_for_stream},
+        memory::OutOfMemory,
+        node::RequestContext,
+    },
     hyper::{Request, StatusCode, body::Incoming, http::request},
-    route::{LookupError, Route, RouteTable},
+    route::{Kind, LookupError, Route, RouteTable},
     std::{rc::Rc, sync::Arc, time::Duration},
     xxhash_rust::xxh3::Xxh3,
 };
@@ -51,6 +56,9 @@
         Ok(admitted) => admitted,
         Err(response) => return *response,
     };
+    if route.kind == Kind::Download && !has_memory_for_stream(&node.client.memory) {
+        return body_error_response(&head, OutOfMemory.into());
+    }
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived_at + timeout;
     let max_bytes = node.route_table().limits().max_body_bytes;
@@ -82,9 +90,10 @@
     let fingerprint = compute_fingerprint(&context, &parts, &body);
     let target_request = build_target_request(&head, parts, &body);
     run_request(context.is_idempotent(), async move {
-        let response =
+        let mut response =
             retry::send_with_retries(&node, context, &target_request, &fingerprint).await;
-        drop((in_flight, body));
+        drop(body);
+        response.body_mut().hold(in_flight);
         response
     })
     .await
@@ -167,12 +176,12 @@
 
 fn body_error_response(head: &RequestHead, error: BodyError) -> HttpResponse {
     let id = head.request_id.to_str().unwrap_or_default();
-    log::info!(event = "request_refused", request = id, reason:% = error; "request refused: its body could not be read");
+    log::info!(event = "request_refused", request = id, reason:% = error; "request refused: its body, or that of its response, could not be taken");
     match error {
         BodyError::TooLarge => text_response(StatusCode::PAYLOAD_TOO_LARGE, "body too large"),
         BodyError::TimedOut => text_response(StatusCode::REQUEST_TIMEOUT, "body too late"),
         BodyError::Incomplete => text_response(StatusCode::BAD_REQUEST, "body ended early"),
-        BodyError::OutOfMemory => {
+        BodyError::OutOfMemory(_) => {
             unavailable_response("no memory for bodies", OUT_OF_MEMORY_RETRY_AFTER)
         }
     }
--- a/crates/gateway/src/http_client/client.rs
+++ b/crates/gateway/src/http_client/client.rs
@@ -2,9 +2,11 @@
 
 use {
     super::connection::Connection,
+    crate::memory::MemoryBudget,
     std::{
         cell::{Cell, RefCell},
         net::SocketAddr,
+        rc::Rc,
         time::Duration,
     },
     tokio::time::Instant,
@@ -16,15 +18,31 @@
 /// Number of addresses with a round-trip estimate; all estimates are dropped when it is reached.
 const MAX_ROUND_TRIPS: usize = 4096;
 
+/// Time allowed for a connection to accept another request after a response.
+const READY_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// HTTP client that pools its idle connections.
-#[derive(Default)]
 pub struct Client {
+    /// Memory for the bodies of requests and responses.
+    pub(crate) memory: Rc<MemoryBudget>,
     idle: RefCell<Map<SocketAddr, Vec<Connection>>>,
     round_trips: RefCell<Map<SocketAddr, Duration>>,
     max_idle: Cell<Option<usize>>,
 }
 
 impl Client {
+    /// Creates a client without connections. The bodies that it reads take a part of
+    /// `memory_bytes`, the memory limit of the process.
+    #[must_use]
+    pub fn new(memory_bytes: usize) -> Self {
+        Self {
+            memory: MemoryBudget::new(memory_bytes),
+            idle: RefCell::default(),
+            round_trips: RefCell::default(),
+            max_idle: Cell::default(),
+        }
+    }
+
     /// Removes a usable idle connection to the address from the pool, if there is one.
     pub(crate) fn check_out(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
@@ -98,3 +116,29 @@
         self.idle.borrow_mut().remove(&address);
     }
 }
+
+/// Returns a connection to the pool after its exchange.
+pub(super) struct CheckIn {
+    pub(super) client: Rc<Client>,
+    pub(super) address: SocketAddr,
+    /// The connection was opened for one request alone and is closed after it.
+    pub(super) is_single_use: bool,
+    pub(super) idle_timeout: Duration,
+}
+
+impl CheckIn {
+    /// Returns the connection to the pool once the request is sent in full, as a target may
+    /// respond before it has read the whole body.
+    pub(super) fn check_in_when_ready(self, mut connection: Connection) {
+        if self.is_single_use {
+            return;
+        }
+        tokio::task::spawn_local(async move {
+            let ready = tokio::time::timeout(READY_TIMEOUT, connection.sender.ready()).await;
+            if matches!(ready, Ok(Ok(()))) {
+                self.client
+                    .check_in(self.address, connection, self.idle_timeout);
+            }
+        });
+    }
+}
--- a/crates/gateway/src/http_client/connection.rs
+++ b/crates/gateway/src/http_client/connection.rs
@@ -15,6 +15,8 @@
 /// Idle time before the first keepalive probe, and the interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 const KEEPALIVE_RETRIES: u32 = 2;
+/// Bytes of responses that are read ahead of their receiver.
+const MAX_BUFFER_BYTES: usize = 32 * 1024;
 
 /// A connection and the task that drives it. Dropping it closes the connection at once.
 pub(crate) struct Connection {
@@ -29,7 +31,10 @@
     pub(crate) async fn open(address: SocketAddr) -> io::Result<Self> {
         let stream = TcpStream::connect(address).await?;
         set_socket_options(&stream)?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let driver = tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
--- a/crates/gateway/src/http_client/mod.rs
+++ b/crates/gateway/src/http_client/mod.rs
@@ -5,10 +5,13 @@
 mod outcome;
 pub(crate) mod relay;
 mod request;
+mod response_body;
 mod send;
 
 pub use client::Client;
 pub(crate) use connection::set_socket_options;
 pub(crate) use outcome::{NotExecutedReason, Outcome, ResponseFault, TargetResponse};
 pub(crate) use request::ClientRequest;
+pub use response_body::{Incomplete, ResponseBody};
+pub(crate) use response_body::{StreamEnd, has_memory_for_stream};
 pub(crate) use send::{Attempt, TargetRequest};
--- a/crates/gateway/src/http_client/outcome.rs
+++ b/crates/gateway/src/http_client/outcome.rs
@@ -1,18 +1,19 @@
 //! Outcome of sending one request to one target.
 
 use {
+    super::ResponseBody,
     balance::LoadReport,
-    bytes::Bytes,
     hyper::{HeaderMap, StatusCode},
     std::fmt,
 };
 
-/// A complete response whose request identifier and signature were checked.
+/// A response whose request identifier and signature were checked. Its body is complete, or
+/// streamed.
 #[derive(Debug)]
 pub(crate) struct TargetResponse {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: ResponseBody,
     pub(crate) load_report: Option<LoadReport>,
 }
 
@@ -40,7 +41,7 @@
     RequestIdMismatch,
     /// A success response carries no signature.
     Unsigned,
-    /// The response is larger than this VM buffers.
+    /// The response does not fit the memory that this VM has left for bodies.
     TooLarge,
 }
 
--- a/crates/gateway/src/http_client/relay.rs
+++ b/crates/gateway/src/http_client/relay.rs
@@ -34,9 +34,6 @@
 /// Value of [`OUTCOME_HEADER`] when the VM does not accept requests for the target.
 pub(crate) const NOT_SERVED: &str = "unserved";
 
-/// Idle timeout of connections to other VMs.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
-
 /// Data by which the VM that owns the queue determines the position of the request.
 pub(crate) struct RelayContext {
     /// Whether the target is expected to have the request's object cached.
@@ -85,8 +82,8 @@
             WAITED_MS_HEADER,
             HeaderValue::from(to_millis(context.waited)),
         );
-        let (raw, connection) = match self.send_and_receive(http_request, attempt).await {
-            Ok(received) => received,
+        let mut raw = match self.send_and_receive(http_request, attempt).await {
+            Ok(raw) => raw,
             Err(Outcome::NotExecuted { .. }) => return RelayOutcome::Unreachable,
             // The other VM waits for the target until the same deadline.
             Err(outcome @ Outcome::TimedOut) => {
@@ -97,7 +94,10 @@
             }
             Err(outcome) => return RelayOutcome::NoResponse(outcome),
         };
-        self.check_in_when_ready(attempt, connection, IDLE_TIMEOUT);
+        if let Some(connection) = raw.connection.take() {
+            self.check_in_for(attempt, &raw.headers)
+                .check_in_when_ready(connection);
+        }
         parse_response(header_names, request, raw)
     }
 }
--- a/crates/gateway/src/http_client/send.rs
+++ b/crates/gateway/src/http_client/send.rs
@@ -2,25 +2,24 @@
 
 use {
     super::{
-        Client, NotExecutedReason, Outcome, ResponseFault, TargetResponse, connection::Connection,
+        Client, NotExecutedReason, Outcome, ResponseBody, ResponseFault, TargetResponse,
+        client::CheckIn, connection::Connection, response_body::is_streamed,
     },
     crate::HeaderNames,
     balance::LoadReport,
     bytes::Bytes,
-    http_body_util::{BodyExt, Full, LengthLimitError, Limited},
-    hyper::{HeaderMap, Method, Request, StatusCode, Uri, body::Incoming, header::HeaderValue},
-    std::{net::SocketAddr, time::Duration},
+    http_body_util::Full,
+    hyper::{
+        HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming, header::HeaderValue,
+    },
+    std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::time::Instant,
 };
 
-/// Largest response body that is buffered.
-const MAX_RESPONSE_BYTES: usize = 32 * 1024 * 1024;
 /// Idle connections are closed this long before the target may close them.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
 /// Idle timeout for targets that state none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
-/// Time allowed for a connection to accept another request after a response.
-const READY_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A caller's request as it is sent to targets, without hop-by-hop headers.
 #[derive(Debug)]
@@ -44,39 +43,43 @@
     pub(crate) needs_own_connection: bool,
 }
 
-/// A complete response that has not been checked.
+/// A response that has not been checked. Its body is complete, or streamed.
 pub(super) struct RawResponse {
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
+    pub(super) body: ResponseBody,
+    /// The connection, unless a streamed body holds it.
+    pub(super) connection: Option<Connection>,
 }
 
 impl Client {
     /// Sends a request to a target, and returns how it ended.
     pub(crate) async fn send_to_target(
-        self: &std::rc::Rc<Self>,
+        self: &Rc<Self>,
         header_names: &HeaderNames,
         request: &TargetRequest,
         attempt: &Attempt<'_>,
     ) -> Outcome {
         let http_request = build_request(header_names, request, attempt);
-        let (raw, connection) = match self.send_and_receive(http_request, attempt).await {
-            Ok(received) => received,
+        let mut raw = match self.send_and_receive(http_request, attempt).await {
+            Ok(raw) => raw,
             Err(outcome) => return outcome,
         };
+        let connection = raw.connection.take();
         let outcome = classify_response(header_names, request, raw);
-        if let Outcome::Answered(response) = &outcome {
-            self.check_in_when_ready(attempt, connection, parse_idle_timeout(&response.headers));
+        if let (Outcome::Answered(response), Some(connection)) = (&outcome, connection) {
+            self.check_in_for(attempt, &response.headers)
+                .check_in_when_ready(connection);
         }
         outcome
     }
 
-    /// Sends a request and returns the unchecked response with its connection.
+    /// Sends a request and returns the unchecked response.
     pub(super) async fn send_and_receive(
-        &self,
+        self: &Rc<Self>,
         mut request: Request<Full<Bytes>>,
         attempt: &Attempt<'_>,
-    ) -> Result<(RawResponse, Connection), Outcome> {
+    ) -> Result<RawResponse, Outcome> {
         let mut idle = if attempt.needs_own_connection {
             None
         } else {
@@ -110,18 +113,57 @@
                 },
                 Ok(Ok(response)) => response,
             };
-            let (parts, body) = response.into_parts();
-            let body = match tokio::time::timeout_at(attempt.deadline, read_body(body)).await {
-                Err(_) => return Err(Outcome::TimedOut),
-                Ok(Err(fault)) => return Err(Outcome::Indeterminate(fault)),
-                Ok(Ok(body)) => body,
+            return self.receive_body(response, connection, attempt).await;
+        }
+    }
+
+    /// Reads the body of a response, or leaves it to be streamed if it is long.
+    async fn receive_body(
+        self: &Rc<Self>,
+        response: Response<Incoming>,
+        connection: Connection,
+        attempt: &Attempt<'_>,
+    ) -> Result<RawResponse, Outcome> {
+        let (parts, incoming) = response.into_parts();
+        if is_streamed(&incoming) {
+            let check_in = self.check_in_for(attempt, &parts.headers);
+            let deadline = attempt.deadline;
+            let body =
+                ResponseBody::streamed(incoming, connection, check_in, &self.memory, deadline);
+            return match body {
+                Err(_) => Err(Outcome::Indeterminate(ResponseFault::TooLarge)),
+                Ok(body) => Ok(RawResponse {
+                    status: parts.status,
+                    headers: parts.headers,
+                    body,
+                    connection: None,
+                }),
             };
-            let raw = RawResponse {
+        }
+        let buffered = ResponseBody::buffer(incoming, &self.memory);
+        match tokio::time::timeout_at(attempt.deadline, buffered).await {
+            Err(_) => Err(Outcome::TimedOut),
+            Ok(Err(fault)) => Err(Outcome::Indeterminate(fault)),
+            Ok(Ok(body)) => Ok(RawResponse {
                 status: parts.status,
                 headers: parts.headers,
                 body,
-            };
-            return Ok((raw, connection));
+                connection: Some(connection),
+            }),
+        }
+    }
+
+    /// Returns how the connection of an attempt goes back to the pool after its response.
+    pub(super) fn check_in_for(
+        self: &Rc<Self>,
+        attempt: &Attempt<'_>,
+        headers: &HeaderMap,
+    ) -> CheckIn {
+        CheckIn {
+            client: self.clone(),
+            address: attempt.address,
+            is_single_use: attempt.needs_own_connection,
+            idle_timeout: parse_idle_timeout(headers),
         }
     }
 
@@ -134,27 +176,6 @@
         self.record_round_trip(attempt.address, start.elapsed());
         Some(connection)
     }
-
-    /// Returns the connection to the pool once the request is sent in full, as a target may
-    /// respond before it has read the whole body.
-    pub(super) fn check_in_when_ready(
-        self: &std::rc::Rc<Self>,
-        attempt: &Attempt<'_>,
-        mut connection: Connection,
-        idle_timeout: Duration,
-    ) {
-        if attempt.needs_own_connection {
-            return;
-        }
-        let client = self.clone();
-        let address = attempt.address;
-        tokio::task::spawn_local(async move {
-            let ready = tokio::time::timeout(READY_TIMEOUT, connection.sender.ready()).await;
-            if matches!(ready, Ok(Ok(()))) {
-                client.check_in(address, connection, idle_timeout);
-            }
-        });
-    }
 }
 
 /// Builds the request with the remaining time and the identifier of the expected target.
@@ -190,15 +211,6 @@
     http_request
 }
 
-async fn read_body(body: Incoming) -> Result<Bytes, ResponseFault> {
-    let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-    match collected {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(ResponseFault::TooLarge),
-        Err(_) => Err(ResponseFault::Truncated),
-    }
-}
-
 /// Checks the request identifier, the statement of non-execution and the signature.
 pub(super) fn classify_response(
     header_names: &HeaderNames,
@@ -209,6 +221,7 @@
         status,
         headers,
         body,
+        ..
     } = raw;
     let load_report = headers
         .get(&header_names.load_report)
@@ -258,9 +271,9 @@
     })
 }
 
-/// Returns the idle timeout that the target's `Keep-Alive` header states, less the margin,
+/// Returns the idle timeout that the `Keep-Alive` header states, less the margin,
 /// or the default.
-pub(super) fn parse_idle_timeout(headers: &HeaderMap) -> Duration {
+fn parse_idle_timeout(headers: &HeaderMap) -> Duration {
     let value = headers.get("keep-alive").and_then(|v| v.to_str().ok());
     let timeout_s = value.and_then(|value| {
         let mut parameters = value.split(',').map(str::trim);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,7 +3,6 @@
 use {
     crate::{GatewayError, HttpResponse, Node, frontend::text_response},
     bytes::Bytes,
-    http_body_util::Full,
     hyper::{Request, StatusCode, body::Incoming},
     metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle},
     std::rc::Rc,
@@ -31,7 +30,7 @@
 }
 
 fn ok_response(text: String) -> HttpResponse {
-    HttpResponse::new(Full::new(Bytes::from(text)))
+    HttpResponse::new(Bytes::from(text).into())
 }
 
 /// Returns the node's state as text: the VM, routes, rows, and a line for each member and target.
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -56,8 +56,6 @@
     pub(crate) next_sequence: Cell<u64>,
     /// Number of requests being served.
     pub(crate) in_flight: Cell<usize>,
-    /// Memory taken by request bodies.
-    pub(crate) buffered_bytes: Cell<usize>,
     member_view: RefCell<View>,
     /// Rows of the platform's store.
     replica: RefCell<RecordReplica>,
@@ -112,7 +110,6 @@
             capacity_freed: Notify::new(),
             next_sequence: Cell::new(0),
             in_flight: Cell::new(0),
-            buffered_bytes: Cell::new(0),
             member_view: RefCell::new(view),
             replica: RefCell::default(),
             table_health: RefCell::default(),
--- a/crates/gateway/src/peers/records.rs
+++ b/crates/gateway/src/peers/records.rs
@@ -3,7 +3,6 @@
 use {
     crate::{HttpResponse, Node, frontend::text_response, store},
     bytes::Bytes,
-    http_body_util::Full,
     hyper::{Request, StatusCode, body::Incoming},
     std::{rc::Rc, time::Duration},
     wire::Batch,
@@ -37,7 +36,7 @@
         ..node.replica().build_batch(after, &node.store.tables)
     };
     match wire::encode(&batch) {
-        Ok(bytes) => HttpResponse::new(Full::new(Bytes::from(bytes))),
+        Ok(bytes) => HttpResponse::new(Bytes::from(bytes).into()),
         Err(error) => {
             log::error!(event = "records_unwritable", reason:% = error; "rows cannot be encoded; a peer gets no update");
             text_response(StatusCode::INTERNAL_SERVER_ERROR, "rows cannot be written")
