Weigh regions in the rendezvous hashing instead of subtracting a penalty

Cause: the penalty of another region was subtracted from the largest of many evenly drawn weights. Ruled out: targets that are down there, and the border of 0.6 of the objective alone.

Change: weighted rendezvous: the logarithm of the normalized hash over the weight of the region. A target gets the share of objects that its weight says, at any number of targets. The weight of another region is 1 less eight times the round trip as a part of the objective, at least 0.3.

--- a/crates/balance/src/candidates.rs
+++ b/crates/balance/src/candidates.rs
@@ -12,15 +12,16 @@
 /// idle for a round trip.
 const REMOTE_EXTRA_REQUESTS: f64 = 1.0;
 
-/// Penalty for a target in another region whose round trip takes the whole latency objective;
-/// for a shorter round trip it is proportionally smaller. It is subtracted from the target's
-/// rendezvous weight, which is normalized to 0..=1.
-const REMOTE_PENALTY_FACTOR: f64 = 1.0;
+/// Weight of a target in this region, against which those in other regions are weighed.
+const LOCAL_WEIGHT: f64 = 1.0;
+/// Loss of weight of a target in another region, for a round trip that takes the whole latency
+/// objective; for a shorter one it is proportionally smaller.
+const REMOTE_WEIGHT_LOSS: f64 = 8.0;
+/// Smallest weight of a target in another region that can respond in time.
+const MIN_REMOTE_WEIGHT: f64 = 0.3;
 /// Maximum number of targets that an object is sent to, so that under overload it does not end
 /// up cached on all of them and evict other objects there.
 const TARGETS_PER_OBJECT: usize = 2;
-/// A penalty above the largest normalized weight, which rules a target out.
-const PROHIBITIVE_PENALTY: f64 = 2.0;
 /// Fraction of its slots up to which a target receives objects that it has not cached. These
 /// run longer and evict objects from its cache, so they are sent only where capacity is spare.
 const UNCACHED_SLOT_FRACTION: f64 = 0.5;
@@ -43,14 +44,14 @@
         let has_local_target = targets
             .iter()
             .any(|eligible| eligible.locality != Locality::OtherRegion);
-        let remote_penalty = if has_local_target {
-            self.remote_penalty(request, targets)
+        let remote_weight = if has_local_target {
+            self.remote_weight(request, targets)
         } else {
-            0.0
+            LOCAL_WEIGHT
         };
         let mut ranked: Vec<(f64, &EligibleTarget<'a>)> = Vec::with_capacity(targets.len());
         for eligible in targets {
-            ranked.push((preference(key, eligible, remote_penalty), eligible));
+            ranked.push((preference(key, eligible, remote_weight), eligible));
         }
         ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
         let prefers_remote = ranked
@@ -74,16 +75,16 @@
         candidates
     }
 
-    /// Returns the penalty on the normalized weight of targets in other regions.
+    /// Returns the weight of targets in other regions.
     ///
-    /// The penalty is prohibitive if no other region can respond well within the latency
-    /// objective: requests that would be late there do not relieve this region.
-    fn remote_penalty(&self, request: &PendingRequest<'_>, targets: &[EligibleTarget<'_>]) -> f64 {
+    /// It is zero if no other region can respond well within the latency objective: requests
+    /// that would be late there do not relieve this region.
+    fn remote_weight(&self, request: &PendingRequest<'_>, targets: &[EligibleTarget<'_>]) -> f64 {
         let remote = targets
             .iter()
             .filter(|eligible| eligible.locality == Locality::OtherRegion);
         let Some(nearest) = remote.map(|eligible| eligible.round_trip).min() else {
-            return PROHIBITIVE_PENALTY;
+            return 0.0;
         };
         let round_trip_s = nearest.as_secs_f64();
         let objective_s = request.objective.as_secs_f64();
@@ -92,9 +93,10 @@
             .get(request.route)
             .map_or(0.0, RunningTimes::uncongested_s);
         if round_trip_s + run_s < REMOTE_OBJECTIVE_FRACTION * objective_s {
-            REMOTE_PENALTY_FACTOR * round_trip_s / objective_s
+            let weight = LOCAL_WEIGHT - REMOTE_WEIGHT_LOSS * round_trip_s / objective_s;
+            weight.max(MIN_REMOTE_WEIGHT)
         } else {
-            PROHIBITIVE_PENALTY
+            0.0
         }
     }
 
@@ -162,16 +164,20 @@
     }
 }
 
-/// Returns the rendezvous weight of a target for a key, normalized to 0..=1, less the penalty
-/// if the target is in another region.
-fn preference(key: &str, eligible: &EligibleTarget<'_>, remote_penalty: f64) -> f64 {
-    #[allow(clippy::cast_precision_loss, reason = "only the high bits matter")]
-    let normalized = rendezvous_weight(key, &eligible.target.id) as f64 / u64::MAX as f64;
-    if eligible.locality == Locality::OtherRegion {
-        normalized - remote_penalty
+/// Returns the preference of a key for a target, by weighted rendezvous hashing. Of any number of
+/// targets, each is the most preferred one for a share of the keys proportional to its weight.
+fn preference(key: &str, eligible: &EligibleTarget<'_>, remote_weight: f64) -> f64 {
+    let weight = if eligible.locality == Locality::OtherRegion {
+        remote_weight
     } else {
-        normalized
+        LOCAL_WEIGHT
+    };
+    if weight <= 0.0 {
+        return f64::NEG_INFINITY;
     }
+    #[allow(clippy::cast_precision_loss, reason = "only the high bits matter")]
+    let normalized = rendezvous_weight(key, &eligible.target.id) as f64 / u64::MAX as f64;
+    normalized.max(f64::MIN_POSITIVE).ln() / weight
 }
 
 #[allow(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -455,3 +455,42 @@
 
     assert_eq!((load.running, load.waiting, load.slots), (4, 3, 4));
 }
+
+/// A region has a tenth of the targets and a third of the callers. However many targets there are,
+/// the same share of its objects stays in it.
+#[test]
+fn region_short_of_targets_gives_away_the_same_share_of_objects_at_any_size() {
+    let local_share = |local_count: usize| {
+        let local: Vec<Target> = (0..local_count)
+            .map(|n| target(&format!("n{n}"), "z"))
+            .collect();
+        let remote: Vec<Target> = (0..9 * local_count)
+            .map(|n| target(&format!("f{n}"), "y"))
+            .collect();
+        let mut eligible_targets: Vec<EligibleTarget<'_>> = local
+            .iter()
+            .map(|t| eligible(t, Locality::SameZone))
+            .collect();
+        eligible_targets.extend(remote.iter().map(|t| EligibleTarget {
+            round_trip: Duration::from_millis(36),
+            ..eligible(t, Locality::OtherRegion)
+        }));
+        let mut balancer = Balancer::default();
+        let objects: Vec<String> = (0..1000).map(|n| n.to_string()).collect();
+        let stay = objects.iter().filter(|object| {
+            let decision = balancer.choose_target(&request(object, 0, 1), &eligible_targets, NOW);
+            matches!(decision, Decision::Send(dispatch) if dispatch.locality != Locality::OtherRegion)
+        });
+        stay.count()
+    };
+
+    for local_count in [1, 4, 20] {
+        let stay = local_share(local_count);
+
+        assert!(
+            (120..240).contains(&stay),
+            "{stay} of 1,000 objects stay with {local_count} targets of {}",
+            10 * local_count
+        );
+    }
+}
