Split what is known of a request after its attempts from the sending of it

Change: frontend::progress holds them with the failures that follow from them; run_request holds the in-flight guard for both. Behaviour is meant to be the same.

--- /dev/null
+++ b/crates/gateway/src/frontend/progress.rs
@@ -0,0 +1,119 @@
+//! What is known of a request after its attempts so far, and how it fails in the end.
+
+use {
+    crate::{
+        Node,
+        http_client::{Outcome, TargetResponse},
+        node::RequestContext,
+    },
+    std::time::Duration,
+};
+
+/// Why a request ended without a response from a target.
+pub(super) enum Failure {
+    /// No target ran the request, so that the caller may safely retry it.
+    NotExecuted {
+        reason: &'static str,
+        retry_after: Duration,
+    },
+    /// A target may have run the request, but no valid response came.
+    Indeterminate(&'static str),
+    /// The deadline passed; a target may have run the request.
+    TimedOut,
+}
+
+/// What is known of a request after its attempts so far.
+#[derive(Default)]
+pub(super) struct Progress {
+    /// Whether the request was counted for the retry budget.
+    is_counted: bool,
+    /// Attempts that reached a target; one that cannot be reached costs no retry.
+    attempts: u32,
+    /// Set once a target may have run the request.
+    indeterminate_reason: Option<&'static str>,
+    /// Set once a target turned out to be full; a second full one ends the request.
+    full_retry_after: Option<Duration>,
+}
+
+impl Progress {
+    /// Counts the request's first attempt, or takes a further one out of the retry budget.
+    /// Returns false if none is left.
+    pub(super) fn withdraw_attempt(&mut self, node: &Node, context: &RequestContext) -> bool {
+        if !self.is_counted {
+            self.is_counted = true;
+            node.record_first_attempt(&context.service);
+            return true;
+        }
+        self.attempts == 0 || node.try_withdraw_retry(&context.service)
+    }
+
+    /// Records that a target was full.
+    ///
+    /// # Errors
+    /// The [`Failure`] of the request if no further target is asked.
+    pub(super) fn record_full(&mut self, retry_after: Duration) -> Result<(), Failure> {
+        if self.full_retry_after.is_some() {
+            return Err(self.no_room_failure(retry_after));
+        }
+        self.full_retry_after = Some(retry_after);
+        Ok(())
+    }
+
+    /// Returns the failure of a request for which no target has room before `retry_after`.
+    pub(super) fn no_room_failure(&self, retry_after: Duration) -> Failure {
+        let earlier = self.full_retry_after.unwrap_or(retry_after);
+        self.no_target_failure(earlier.min(retry_after))
+    }
+
+    /// Records how an attempt ended, and returns the response if there is one.
+    ///
+    /// # Errors
+    /// The [`Failure`] of the request if it may not be sent again.
+    pub(super) fn record_outcome(
+        &mut self,
+        context: &RequestContext,
+        outcome: Outcome,
+    ) -> Result<Option<TargetResponse>, Failure> {
+        match outcome {
+            Outcome::Answered(response) => return Ok(Some(*response)),
+            Outcome::TimedOut => return Err(Failure::TimedOut),
+            Outcome::NotExecuted { reason, .. } => {
+                self.attempts += u32::from(reason.is_rejection());
+            }
+            Outcome::Indeterminate(_) if !context.is_idempotent() => {
+                return Err(Failure::Indeterminate("broken"));
+            }
+            Outcome::Indeterminate(_) => {
+                self.attempts += 1;
+                self.indeterminate_reason = Some("broken");
+            }
+        }
+        if self.attempts >= context.route.max_attempts {
+            return Err(self.no_target_failure(context.route.objective));
+        }
+        Ok(None)
+    }
+
+    /// Returns the failure of a request that has no time left for a further attempt.
+    pub(super) fn no_time_failure(&self) -> Failure {
+        match self.indeterminate_reason {
+            Some(_) => Failure::TimedOut,
+            None => Failure::NotExecuted {
+                reason: "no time left",
+                retry_after: Duration::ZERO,
+            },
+        }
+    }
+
+    /// Returns the failure of a request that no other target may run. It is indeterminate if an
+    /// earlier attempt may have run the request.
+    pub(super) fn no_target_failure(&self, retry_after: Duration) -> Failure {
+        match self.indeterminate_reason {
+            Some(reason) => Failure::Indeterminate(reason),
+            None => Failure::NotExecuted {
+                reason: "no target with room",
+                retry_after,
+            },
+        }
+    }
+}
--- a/crates/gateway/src/frontend/relayed.rs
+++ b/crates/gateway/src/frontend/relayed.rs
@@ -54,10 +54,9 @@
     node.record_arrival(&context);
     let fingerprint = compute_fingerprint(&context, &parts, &body);
     let target_request = build_target_request(&head, parts, &body);
-    run_request(context.is_idempotent(), async move {
-        let mut response = send_to_target(&node, &context, &target_request, &fingerprint).await;
+    run_request(context.is_idempotent(), in_flight, async move {
+        let response = send_to_target(&node, &context, &target_request, &fingerprint).await;
         drop(body);
-        response.body_mut().hold(in_flight);
         response
     })
     .await
--- a/crates/gateway/src/frontend/retry.rs
+++ b/crates/gateway/src/frontend/retry.rs
@@ -3,11 +3,12 @@
 use {
     super::{
         attempt::attempt_target,
+        progress::{Failure, Progress},
         response::{HttpResponse, text_response, unavailable_response},
     },
     crate::{
         Node,
-        http_client::{Outcome, TargetRequest, TargetResponse},
+        http_client::{TargetRequest, TargetResponse},
         node::{QueueEntry, RequestContext, Reservation, Selection},
     },
     hyper::{StatusCode, header::CONTENT_LENGTH},
@@ -19,19 +20,6 @@
 /// A request with less time left is not sent, as no target could respond within it.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 
-/// Why a request ended without a response from a target.
-enum Failure {
-    /// No target ran the request, so that the caller may safely retry it.
-    NotExecuted {
-        reason: &'static str,
-        retry_after: Duration,
-    },
-    /// A target may have run the request, but no valid response came.
-    Indeterminate(&'static str),
-    /// The deadline passed; a target may have run the request.
-    TimedOut,
-}
-
 /// Runs a request to its end, logs it and returns the response for the caller.
 pub(crate) async fn send_with_retries(
     node: &Rc<Node>,
@@ -61,68 +49,28 @@
     request: &TargetRequest,
     fingerprint: &str,
 ) -> Result<TargetResponse, Failure> {
-    let mut indeterminate_reason: Option<&'static str> = None;
-    // Counts only sends that reached a target; an unreachable one costs no retry.
-    let mut attempts = 0;
-    // Set once a target turned out to be full; a second full target ends the request.
-    let mut full_retry_after: Option<Duration> = None;
+    let mut progress = Progress::default();
     loop {
         if context.deadline.saturating_sub(node.now()) < MIN_TIME_LEFT {
-            return Err(if indeterminate_reason.is_some() {
-                Failure::TimedOut
-            } else {
-                no_time_failure()
-            });
+            return Err(progress.no_time_failure());
         }
         let reservation = match wait_for_target(node, context).await {
             Ok(reservation) => reservation,
-            Err(retry_after) => {
-                return Err(no_target_failure(
-                    indeterminate_reason,
-                    full_retry_after.unwrap_or(retry_after).min(retry_after),
-                ));
-            }
+            Err(retry_after) => return Err(progress.no_room_failure(retry_after)),
         };
-        if attempts == 0 && context.tried_targets.is_empty() {
-            node.record_first_attempt(&context.service);
-        } else if attempts > 0 && !node.try_withdraw_retry(&context.service) {
-            return Err(no_target_failure(
-                indeterminate_reason,
-                context.route.objective,
-            ));
+        if !progress.withdraw_attempt(node, context) {
+            return Err(progress.no_target_failure(context.route.objective));
         }
         let target = reservation.dispatch.target.clone();
-        context.tried_targets.push(target.clone());
-        let outcome = match attempt_target(node, context, request, &reservation, fingerprint).await
-        {
-            Ok(outcome) => outcome,
-            Err(retry_after) => {
-                let shortest =
-                    full_retry_after.map_or(retry_after, |earlier| earlier.min(retry_after));
-                if full_retry_after.replace(shortest).is_some() {
-                    return Err(no_target_failure(indeterminate_reason, shortest));
+        context.tried_targets.push(target);
+        match attempt_target(node, context, request, &reservation, fingerprint).await {
+            Err(retry_after) => progress.record_full(retry_after)?,
+            Ok(outcome) => {
+                drop(reservation);
+                if let Some(response) = progress.record_outcome(context, outcome)? {
+                    return Ok(response);
                 }
-                continue;
             }
-        };
-        drop(reservation);
-        match outcome {
-            Outcome::Answered(response) => return Ok(*response),
-            Outcome::TimedOut => return Err(Failure::TimedOut),
-            Outcome::NotExecuted { reason, .. } => attempts += u32::from(reason.is_rejection()),
-            Outcome::Indeterminate(_) if !context.is_idempotent() => {
-                return Err(Failure::Indeterminate("broken"));
-            }
-            Outcome::Indeterminate(_) => {
-                attempts += 1;
-                indeterminate_reason = Some("broken");
-            }
-        }
-        if attempts >= context.route.max_attempts {
-            return Err(no_target_failure(
-                indeterminate_reason,
-                context.route.objective,
-            ));
         }
     }
 }
@@ -155,25 +103,6 @@
     }
 }
 
-fn no_time_failure() -> Failure {
-    Failure::NotExecuted {
-        reason: "no time left",
-        retry_after: Duration::ZERO,
-    }
-}
-
-/// Returns the failure of a request that no other target may run. It is indeterminate if an earlier
-/// attempt may have run the request.
-fn no_target_failure(indeterminate_reason: Option<&'static str>, retry_after: Duration) -> Failure {
-    match indeterminate_reason {
-        Some(reason) => Failure::Indeterminate(reason),
-        None => Failure::NotExecuted {
-            reason: "no target with room",
-            retry_after,
-        },
-    }
-}
-
 /// Builds the caller's response, and records the request in the log and metrics.
 fn finish_request(
     node: &Rc<Node>,
--- a/crates/gateway/src/frontend/serve.rs
+++ b/crates/gateway/src/frontend/serve.rs
@@ -89,24 +89,30 @@
     node.record_arrival(&context);
     let fingerprint = compute_fingerprint(&context, &parts, &body);
     let target_request = build_target_request(&head, parts, &body);
-    run_request(context.is_idempotent(), async move {
-        let mut response =
+    run_request(context.is_idempotent(), in_flight, async move {
+        let response =
             retry::send_with_retries(&node, context, &target_request, &fingerprint).await;
         drop(body);
-        response.body_mut().hold(in_flight);
         response
     })
     .await
 }
 
-/// Runs an idempotent request until the client disconnects, any other to its end.
+/// Runs an idempotent request until the client disconnects, any other to its end. It counts as in
+/// flight until its response has ended.
 ///
 /// Hyper drops the future of a request whose client disconnects. A request that is not
 /// idempotent runs in a task of its own, which is not cancelled.
 pub(super) async fn run_request(
     is_idempotent: bool,
+    in_flight: InFlightGuard,
     future: impl Future<Output = HttpResponse> + 'static,
 ) -> HttpResponse {
+    let future = async move {
+        let mut response = future.await;
+        response.body_mut().hold(in_flight);
+        response
+    };
     if is_idempotent {
         return future.await;
     }
