Rank hundreds of targets by their hashes before estimating their load

A profile of a VM with 154 targets (perf, local cluster) has over half of its time in the choice of a target: locality, queue owner, ejection, cold state, hash, logarithm and sort for each of the targets, at each decision, also at the owner of a queue, where only one target is assigned. Ruled out: the streamed bodies and the log, which have less than a tenth each.

Change: the owner looks only at the assigned target. Elsewhere the four targets with the highest hashes of this region and of the others are kept first, since those of one side have the same weight, and only these are looked at; if fewer than two of a side may run the request, all are. The round trip to the nearest region is worked out for all targets twice a second.

Tests: preselection_of_hundreds_of_targets_changes_no_decision and preselection_suffices_while_two_of_its_targets_are_eligible.

--- a/crates/balance/src/candidates.rs
+++ b/crates/balance/src/candidates.rs
@@ -40,7 +40,7 @@
         targets: &[EligibleTarget<'a>],
         now: Duration,
     ) -> Vec<Candidate<'a>> {
-        let key = request.object.unwrap_or(request.id);
+        let key = request.key();
         let has_local_target = targets
             .iter()
             .any(|eligible| eligible.locality != Locality::OtherRegion);
@@ -83,7 +83,9 @@
         let remote = targets
             .iter()
             .filter(|eligible| eligible.locality == Locality::OtherRegion);
-        let Some(nearest) = remote.map(|eligible| eligible.round_trip).min() else {
+        let nearest = remote.map(|eligible| eligible.round_trip).min();
+        let Some(nearest) = nearest.map(|nearest| request.remote_round_trip.unwrap_or(nearest))
+        else {
             return 0.0;
         };
         let round_trip_s = nearest.as_secs_f64();
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod balancer;
 mod candidates;
+mod preselection;
 mod priority_reserve;
 mod recent_objects;
 mod rendezvous;
@@ -19,6 +20,7 @@
 mod wait_queues;
 
 pub use balancer::Balancer;
+pub use preselection::{Preselection, Side, preselect_targets};
 pub use priority_reserve::PriorityReserve;
 pub use recent_objects::RecentObjects;
 pub use rendezvous::rendezvous_weight;
--- a/crates/balance/src/request.rs
+++ b/crates/balance/src/request.rs
@@ -27,6 +27,16 @@
     pub local_wait: Duration,
     /// Time until the request's deadline.
     pub time_left: Duration,
+    /// Round trip to the nearest other region, if it is known beyond the eligible targets.
+    pub remote_round_trip: Option<Duration>,
+}
+
+impl<'a> PendingRequest<'a> {
+    /// Returns the key by which targets are ranked: the object, or the identifier without one.
+    #[must_use]
+    pub fn key(&self) -> &'a str {
+        self.object.unwrap_or(self.id)
+    }
 }
 
 /// A target that the request may be sent to.
--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -3,7 +3,7 @@
 use {
     balance::{
         Affinity, Balancer, Decision, Dispatch, EligibleTarget, LoadReport, Locality,
-        PendingRequest, QueueKey,
+        PendingRequest, QueueKey, preselect_targets,
     },
     catalog::{Target, TargetState},
     std::{net::SocketAddr, time::Duration},
@@ -51,6 +51,7 @@
         caller_wait: Duration::ZERO,
         local_wait: Duration::ZERO,
         time_left: Duration::from_secs(4),
+        remote_round_trip: None,
     }
 }
 
@@ -494,3 +495,66 @@
         );
     }
 }
+
+/// Hundreds of targets: a decision among the preselected ones is the same as among all.
+#[test]
+fn preselection_of_hundreds_of_targets_changes_no_decision() {
+    let targets: Vec<Target> = (0..300)
+        .map(|n| target(&format!("t{n}"), if n < 30 { "z" } else { "y" }))
+        .collect();
+    let as_eligible = |target| {
+        let is_remote = is_remote(target);
+        let locality = if is_remote {
+            Locality::OtherRegion
+        } else {
+            Locality::SameZone
+        };
+        eligible(target, locality)
+    };
+    let all: Vec<EligibleTarget<'_>> = targets.iter().map(as_eligible).collect();
+    let mut balancer = Balancer::default();
+
+    for number in 0..500 {
+        let object = number.to_string();
+        let request = request(&object, 0, 1);
+        let with_side = targets.iter().map(|target| (target, is_remote(target)));
+        let preselection = preselect_targets(request.key(), with_side);
+        let sides = [&preselection.local, &preselection.remote];
+        let few: Vec<EligibleTarget<'_>> = sides
+            .iter()
+            .flat_map(|side| side.targets().map(as_eligible))
+            .collect();
+
+        let among_all = balancer.choose_target(&request, &all, NOW);
+        let among_few = balancer.choose_target(&request, &few, NOW);
+
+        assert_eq!(few.len(), 8);
+        assert_eq!(target_of(&among_all), target_of(&among_few), "{object}");
+    }
+}
+
+fn is_remote(target: &Target) -> bool {
+    target.zone != "z"
+}
+
+fn target_of(decision: &Decision) -> Option<&str> {
+    match decision {
+        Decision::Send(dispatch) => Some(&dispatch.target),
+        Decision::Wait { target } => Some(target),
+        Decision::Refuse { .. } => None,
+    }
+}
+
+/// Some of the preselected targets are ejected or cold.
+#[test]
+fn preselection_suffices_while_two_of_its_targets_are_eligible() {
+    let targets: Vec<Target> = (0..6).map(|n| target(&format!("t{n}"), "z")).collect();
+    let with_side = |count| targets[..count].iter().map(|target| (target, false));
+
+    let of_many = preselect_targets("1", with_side(6));
+    let of_two = preselect_targets("1", with_side(2));
+
+    assert_eq!(of_many.local.targets().count(), 4);
+    assert!(of_many.local.suffices(2) && !of_many.local.suffices(1));
+    assert!(of_two.local.suffices(0) && of_two.remote.suffices(0));
+}
--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -146,8 +146,8 @@
             .values()
             .filter_map(|entry| entry.target.as_ref());
         targets.filter(move |target| {
-            target.service == service
-                && target.state == TargetState::Ready
+            target.state == TargetState::Ready
+                && target.service == service
                 && !self.is_evacuated(&target.zone)
         })
     }
@@ -197,7 +197,7 @@
     /// Returns whether there are no targets.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.len() == 0
+        self.entries.values().all(|entry| entry.target.is_none())
     }
 
     /// Returns all targets, in no particular order.
--- a/crates/gateway/src/node/request.rs
+++ b/crates/gateway/src/node/request.rs
@@ -51,6 +51,7 @@
             caller_wait: now.saturating_sub(self.arrived_at) + self.prior_wait,
             local_wait: now.saturating_sub(self.arrived_at),
             time_left: self.deadline.saturating_sub(now),
+            remote_round_trip: None,
         }
     }
 
--- a/crates/gateway/src/node/selection.rs
+++ b/crates/gateway/src/node/selection.rs
@@ -2,7 +2,9 @@
 
 use {
     super::{Node, QueueOwner, RequestContext, Reservation, Selection},
-    balance::{Decision, EligibleTarget, Locality, QueueKey, select_warmup_senders},
+    balance::{
+        Decision, EligibleTarget, Locality, PendingRequest, QueueKey, select_warmup_senders,
+    },
     catalog::{Catalog, Target},
     route::Route,
     std::{rc::Rc, time::Duration},
@@ -16,14 +18,18 @@
     Duration::from_millis(40),
 ];
 
+/// Time for which the round trip to the nearest other region is taken to stay the same.
+const REMOTE_ROUND_TRIP_VALIDITY: Duration = Duration::from_millis(500);
+
 impl Node {
     /// Decides whether a request is sent to a target now, waits for one or is refused. If it is
     /// sent, it counts as in flight at the target until the reservation is dropped.
     pub(crate) fn select_target(self: &Rc<Self>, request: &RequestContext) -> Selection {
         let now = self.now();
         let catalog = self.catalog.borrow();
-        let eligible = self.eligible_targets(request, &catalog, now);
-        let pending = request.pending_request(now);
+        let mut pending = request.pending_request(now);
+        pending.remote_round_trip = self.remote_round_trip(request, &catalog, now);
+        let eligible = self.eligible_targets(request, &pending, &catalog, now);
         let decision = self
             .balancer
             .borrow_mut()
@@ -54,39 +60,96 @@
         Selection::Send(Box::new(reservation))
     }
 
-    /// Returns the targets that may run a request now. Targets that are ejected, and cold
-    /// targets to which this VM may not send one more request, are left out.
+    /// Returns the targets among which a request's target is chosen: the assigned one, or the most
+    /// preferred of its service that may run it now. If too few of those may, it returns all.
     fn eligible_targets<'a>(
         &self,
         request: &'a RequestContext,
+        pending: &PendingRequest<'_>,
         catalog: &'a Catalog,
         now: Duration,
     ) -> Vec<EligibleTarget<'a>> {
-        let mut eligible = Vec::new();
-        for target in catalog.usable_targets(&request.service) {
+        let eligible = |target| self.eligible_target(request, target, catalog, now);
+        if let Some(assignment) = &request.assignment {
+            let usable = catalog.is_usable(&assignment.target);
+            let target = catalog.get(&assignment.target).filter(|_| usable);
+            return target.and_then(eligible).into_iter().collect();
+        }
+        let targets = catalog.usable_targets(&request.service);
+        let with_side = targets.map(|target| (target, self.is_remote(target)));
+        let preselection = balance::preselect_targets(pending.key(), with_side);
+        let mut targets: Vec<EligibleTarget<'a>> =
+            preselection.local.targets().filter_map(eligible).collect();
+        let local_count = targets.len();
+        targets.extend(preselection.remote.targets().filter_map(eligible));
+        let remote_count = targets.len() - local_count;
+        if preselection.local.suffices(local_count) && preselection.remote.suffices(remote_count) {
+            return targets;
+        }
+        let targets = catalog.usable_targets(&request.service);
+        targets.filter_map(eligible).collect()
+    }
+
+    /// Returns whether a target is in another region.
+    fn is_remote(&self, target: &Target) -> bool {
+        target.zone != self.settings.zone
+            && self.settings.region_of(&target.zone) != self.settings.region
+    }
+
+    /// Returns a target if it may run a request now. One that is ejected, or cold while this VM may
+    /// not send it one more request, may not.
+    fn eligible_target<'a>(
+        &self,
+        request: &RequestContext,
+        target: &'a Target,
+        catalog: &Catalog,
+        now: Duration,
+    ) -> Option<EligibleTarget<'a>> {
+        let is_cold = catalog.is_cold(&target.id, now);
+        let queue_owner = self.queue_owner_for(request, target, is_cold, now);
+        let (locality, round_trip) = self.locate_target(request, target, queue_owner.as_ref())?;
+        let is_ejected = self.balancer.borrow().is_ejected(&target.id, now);
+        if is_ejected || (is_cold && !self.has_warmup_capacity(target, now)) {
+            return None;
+        }
+        Some(EligibleTarget {
+            target,
+            locality,
+            round_trip,
+            is_cold,
+            has_remote_queue: queue_owner.is_some(),
+            is_fallback: request
+                .assignment
+                .as_ref()
+                .is_some_and(|assignment| !assignment.is_first_choice),
+        })
+    }
+
+    /// Returns the round trip to the nearest target of a service in another region, or `None` if
+    /// there is none. It is worked out anew at an interval.
+    fn remote_round_trip(
+        &self,
+        request: &RequestContext,
+        catalog: &Catalog,
+        now: Duration,
+    ) -> Option<Duration> {
+        let mut cached = self.remote_round_trips.borrow_mut();
+        if let Some((valid_until, round_trip)) = cached.get(&request.service)
+            && now < *valid_until
+        {
+            return *round_trip;
+        }
+        let targets = catalog.usable_targets(&request.service);
+        let remote = targets.filter(|target| self.is_remote(target));
+        let round_trips = remote.map(|target| {
             let is_cold = catalog.is_cold(&target.id, now);
             let queue_owner = self.queue_owner_for(request, target, is_cold, now);
-            let Some((locality, round_trip)) =
-                self.locate_target(request, target, queue_owner.as_ref())
-            else {
-                continue;
-            };
-            let is_ejected = self.balancer.borrow().is_ejected(&target.id, now);
-            if !is_ejected && (!is_cold || self.has_warmup_capacity(target, now)) {
-                eligible.push(EligibleTarget {
-                    target,
-                    locality,
-                    round_trip,
-                    is_cold,
-                    has_remote_queue: queue_owner.is_some(),
-                    is_fallback: request
-                        .assignment
-                        .as_ref()
-                        .is_some_and(|assignment| !assignment.is_first_choice),
-                });
-            }
-        }
-        eligible
+            self.estimate_distance(target, queue_owner.as_ref()).1
+        });
+        let nearest = round_trips.min();
+        let valid_until = now + REMOTE_ROUND_TRIP_VALIDITY;
+        cached.insert(request.service.clone(), (valid_until, nearest));
+        nearest
     }
 
     /// Returns the VM through which a request goes to a target, or `None` if this VM sends it
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -69,6 +69,8 @@
     /// Holds the time at which this VM began to leave.
     leaving: watch::Sender<Option<Duration>>,
     pub(crate) queue_owners: RefCell<super::QueueOwners>,
+    /// By service, the round trip to the nearest other region and until when it is valid.
+    pub(crate) remote_round_trips: RefCell<Map<String, (Duration, Option<Duration>)>>,
     socket: RefCell<Option<Rc<crate::peers::Socket>>>,
 }
 
@@ -117,6 +119,7 @@
             source_bypass_until: Cell::new(Duration::ZERO),
             leaving: watch::Sender::new(None),
             queue_owners: RefCell::default(),
+            remote_round_trips: RefCell::default(),
             socket: RefCell::default(),
         }
     }
--- a/crates/measure/src/simulation/simulator.rs
+++ b/crates/measure/src/simulation/simulator.rs
@@ -188,6 +188,7 @@
             caller_wait: waited + Duration::from_millis(self.workload.caller_ms),
             local_wait: waited,
             time_left: Duration::from_millis(kind.deadline_ms).saturating_sub(waited),
+            remote_round_trip: None,
         };
         let eligible_targets: Vec<EligibleTarget<'_>> =
             find_eligible_targets(self.workload, &self.targets, kind, request.region);
