--- a/crates/gateway/src/frontend/serve.rs
+++ b/crates/gateway/src/frontend/serve.rs
@@ -11,7 +11,7 @@
         Node,
         http_client::{TargetRequest, has_memory_for_stream},
         memory::OutOfMemory,
-        node::RequestContext,
+        node::{RequestContext, duration_ms},
     },
     hyper::{Request, StatusCode, body::Incoming, http::request},
     route::{Kind, LookupError, Route, RouteTable},
@@ -134,7 +134,9 @@
     })?;
     let id = head.request_id.to_str().unwrap_or_default();
     if !node.has_routes_and_targets() {
-        log::info!(event = "request_refused", request = id, status = 503, reason = "uninformed"; "request refused: no routes or targets known yet");
+        let version = node.route_table().version();
+        let targets = node.catalog.borrow().len();
+        log::info!(event = "request_refused", request = id, status = 503, reason = "uninformed", version = version, targets = targets, uptime_ms = duration_ms(node.now()); "request refused: no routes or targets known yet");
         return Err(Box::new(unavailable_response(
             "no routes yet",
             NOT_READY_RETRY_AFTER,
@@ -151,17 +153,24 @@
     let table = node.route_table();
     let route = table
         .find_route(&head.host, parts.uri.path())
-        .map_err(|error| Box::new(no_route_response(&head, &table, error)))?;
+        .map_err(|error| Box::new(no_route_response(node, &head, &table, error)))?;
     Ok((head, route.clone()))
 }
 
-fn no_route_response(head: &RequestHead, table: &RouteTable, error: LookupError) -> HttpResponse {
+fn no_route_response(
+    node: &Node,
+    head: &RequestHead,
+    table: &RouteTable,
+    error: LookupError,
+) -> HttpResponse {
     let id = head.request_id.to_str().unwrap_or_default();
     let host = head.host.as_str();
     let version = table.version();
+    let row = node.replica().newest_version();
+    let heard_ms_ago = node.time_since_store_contact().map(duration_ms);
     match error {
         LookupError::NoMatch => {
-            log::info!(event = "request_refused", request = id, status = 404, reason = "no route", host = host, version = version; "request refused: no route matches its host and path");
+            log::info!(event = "request_refused", request = id, status = 404, reason = "no route", host = host, version = version, row = row, heard_ms_ago:? = heard_ms_ago; "request refused: no route matches its host and path");
             text_response(StatusCode::NOT_FOUND, "no route")
         }
         LookupError::Unusable => {
--- a/crates/gateway/src/http_client/request.rs
+++ b/crates/gateway/src/http_client/request.rs
@@ -5,7 +5,7 @@
     crate::StoreError,
     bytes::Bytes,
     http_body_util::{BodyExt, Full, Limited},
-    hyper::{Method, Request, header},
+    hyper::{HeaderMap, Method, Request, header},
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -47,6 +47,8 @@
 pub struct ClientResponse {
     /// HTTP status code.
     pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
 }
@@ -118,8 +120,8 @@
             .map_err(|e| no_response(&e))?;
         let response = connection.sender.send_request(http_request).await;
         let response = response.map_err(|e| no_response(&e))?;
-        let status = response.status().as_u16();
-        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
+        let (parts, body) = response.into_parts();
+        let body = Limited::new(body, MAX_RESPONSE_BYTES);
         let body = body
             .collect()
             .await
@@ -128,6 +130,10 @@
         if connection.sender.ready().await.is_ok() {
             self.check_in(request.address, connection, IDLE_TIMEOUT);
         }
-        Ok(ClientResponse { status, body })
+        Ok(ClientResponse {
+            status: parts.status.as_u16(),
+            headers: parts.headers,
+            body,
+        })
     }
 }
--- a/crates/gateway/src/node/changes.rs
+++ b/crates/gateway/src/node/changes.rs
@@ -97,6 +97,8 @@
             .borrow_mut()
             .retain_targets(|id| catalog.get(id).is_some());
         metrics::gauge!("cicadalift_targets").set(to_f64(catalog.len()));
+        #[allow(clippy::cast_precision_loss, reason = "versions stay far below 2^52")]
+        metrics::gauge!("cicadalift_newest_row").set(newest as f64);
     }
 }
 
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -61,6 +61,8 @@
     replica: RefCell<RecordReplica>,
     /// Reachability of the store, by table.
     table_health: RefCell<Map<String, TableHealth>>,
+    /// When the store last responded, to this VM or to the one that it receives rows from.
+    last_store_contact: Cell<Option<Duration>>,
     /// Wakes requests of peers for rows. Holds the version up to which the table that changed last
     /// is complete.
     replica_version: watch::Sender<u64>,
@@ -115,6 +117,7 @@
             member_view: RefCell::new(view),
             replica: RefCell::default(),
             table_health: RefCell::default(),
+            last_store_contact: Cell::default(),
             replica_version: watch::Sender::new(0),
             source_bypass_until: Cell::new(Duration::ZERO),
             leaving: watch::Sender::new(None),
@@ -206,6 +209,7 @@
     /// Records a successful store call for a table.
     pub(crate) fn record_store_success(&self, table: &str) {
         let now = self.now();
+        self.last_store_contact.set(Some(now));
         let mut table_health = self.table_health.borrow_mut();
         let health = table_health.entry(table.to_owned()).or_default();
         if let Some(since) = health.failing_since.take() {
@@ -218,6 +222,7 @@
     /// Records a batch from an update source that can reach the store. This counts as a success
     /// for every table whose calls failed.
     pub(crate) fn record_source_success(&self) {
+        self.last_store_contact.set(Some(self.now()));
         let tables: Vec<String> = {
             let table_health = self.table_health.borrow();
             let failing = table_health
@@ -241,6 +246,13 @@
         }
     }
 
+    /// Returns the time since the store last responded, directly or through the update source, or
+    /// `None` if it never did.
+    pub(crate) fn time_since_store_contact(&self) -> Option<Duration> {
+        let last = self.last_store_contact.get()?;
+        Some(self.now().saturating_sub(last))
+    }
+
     /// Returns whether the most recent store calls for all tables succeeded.
     pub(crate) fn is_store_available(&self) -> bool {
         let table_health = self.table_health.borrow();
--- a/crates/gateway/src/store/port.rs
+++ b/crates/gateway/src/store/port.rs
@@ -18,6 +18,8 @@
     pub records: Vec<Record>,
     /// Version up to which no change is missing.
     pub version: u64,
+    /// Number by which the store names its history of versions; 0 if it names none.
+    pub era: u64,
 }
 
 /// The registration of a VM, by which the other VMs discover it.
--- a/crates/gateway/src/store/watch.rs
+++ b/crates/gateway/src/store/watch.rs
@@ -61,9 +61,12 @@
         .replica()
         .infer_deletions(table, &read.records, read.version);
     let after_outage = !node.is_store_settled();
-    apply_records(node, &read.records, after_outage);
+    let known = node.replica().complete_version(table).unwrap_or(0);
+    let changed = apply_records(node, &read.records, after_outage);
     apply_records(node, &deletions, after_outage);
     node.mark_table_complete(table, read.version);
+    log::info!(event = "table_read", table = table, era = read.era, version = read.version, known = known, rows = read.records.len(), changed = changed, deleted = deletions.len(); "whole table read from the store");
+    metrics::counter!("cicadalift_table_reads_total", "table" => table.to_owned()).increment(1);
     Ok(())
 }
 
@@ -80,22 +83,24 @@
     Ok(())
 }
 
-/// Applies the rows that are newer than the known ones, whichever source delivered them.
+/// Applies the rows that are newer than the known ones, whichever source delivered them. Returns
+/// their number.
 ///
 /// With `after_outage`, a deletion may only mean that a target could not renew its row while the
 /// store was unreachable.
-pub(crate) fn apply_records(node: &Rc<Node>, records: &[Record], after_outage: bool) {
-    let mut is_changed = false;
+pub(crate) fn apply_records(node: &Rc<Node>, records: &[Record], after_outage: bool) -> usize {
+    let mut changed = 0;
     for record in records {
         let is_newer = node.replica().apply(record);
         if is_newer {
             apply_change(node, record, after_outage);
-            is_changed = true;
+            changed += 1;
         }
     }
-    if is_changed {
+    if changed > 0 {
         node.refresh_derived_state();
     }
+    changed
 }
 
 fn apply_change(node: &Rc<Node>, record: &Record, after_outage: bool) {
