Register a VM again soon after the store came back from a copy

What was seen: a VM that starts after a return finds no VM whose registration the store has lost, for up to a minute; VMs that only know such lists (all of a zone killed at once) do not find each other. Cause: registrations are written once and checked once a minute.

Mend: the beginning of an era wakes the listing, after a random delay of up to 2 s, as all VMs notice it together: 80 VMs make about 40 lists and 40 writes a second, of 2,000 and 400 allowed. A listing or registration that fails is tried again after 2 s instead of 60.

--- a/crates/gateway/src/store/registration.rs
+++ b/crates/gateway/src/store/registration.rs
@@ -2,43 +2,61 @@
 
 use {
     crate::{Node, Registration, StoreError, peers},
+    rand::Rng,
     std::{rc::Rc, time::Duration},
 };
 
 /// Delay before a failed registration is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(400);
-/// Interval at which registrations are listed while no other VM is alive or suspect.
+/// Longest delay before this VM registers again after the store came back from a copy.
+const MAX_RESTORE_DELAY: Duration = Duration::from_secs(2);
+/// Interval at which registrations are listed while no other VM is alive or suspect, or while the
+/// last listing failed.
 const ALONE_LIST_INTERVAL: Duration = Duration::from_secs(2);
 /// Interval at which registrations are listed otherwise.
 const LIST_INTERVAL: Duration = Duration::from_mins(1);
 
-/// Registers this VM, then lists the registrations periodically until the process ends.
+/// Registers this VM, then lists the registrations periodically, and soon after the store came
+/// back from a copy, until the process ends.
 pub(crate) async fn maintain_registration(node: Rc<Node>) {
+    let mut eras = node.subscribe_eras();
     while let Err(error) = register_vm(&node).await {
         log::warn!(event = "register_failed", reason:% = error; "this VM could not be registered; retrying");
         tokio::time::sleep(RETRY_DELAY).await;
     }
     log::info!(event = "registered", vm = node.settings.name.as_str(); "this VM is registered in the store");
+    let mut is_failing = false;
     loop {
         let is_alone = node.member_view().serving_members().len() < 2;
-        tokio::time::sleep(if is_alone {
+        let interval = if is_alone || is_failing {
             ALONE_LIST_INTERVAL
         } else {
             LIST_INTERVAL
-        })
-        .await;
-        match (node.store.list_vms)().await {
-            Ok(registrations) => {
-                add_new_vms(&node, &registrations);
-                restore_registration(&node, &registrations).await;
-            }
-            Err(error) => {
-                log::warn!(event = "list_failed", reason:% = error; "registered VMs could not be listed; new VMs are not discovered");
-            }
+        };
+        tokio::select! {
+            () = tokio::time::sleep(interval) => {}
+            // All VMs notice it at about the same time.
+            _ = eras.changed() => tokio::time::sleep(random_delay(MAX_RESTORE_DELAY)).await,
+        }
+        let restored = refresh_registrations(&node).await;
+        is_failing = restored.is_err();
+        if let Err(error) = restored {
+            log::warn!(event = "list_failed", reason:% = error; "registered VMs could not be listed, or this VM not be registered again; retrying");
         }
     }
 }
 
+/// Adds the VMs that are registered, and registers this VM again if its row is gone.
+async fn refresh_registrations(node: &Rc<Node>) -> Result<(), StoreError> {
+    let registrations = (node.store.list_vms)().await?;
+    add_new_vms(node, &registrations);
+    restore_registration(node, &registrations).await
+}
+
+fn random_delay(max: Duration) -> Duration {
+    max.mul_f64(rand::rng().random())
+}
+
 /// Registers this VM unless an earlier incarnation did so, and adds the VMs that are registered.
 ///
 /// The list is read again after the registration. Of two VMs that start together, the one that
@@ -56,16 +74,20 @@
     Ok(())
 }
 
-/// Registers this VM again if its row is gone. An earlier incarnation may have unregistered
-/// without receiving the response, and the removal may have taken effect late.
-async fn restore_registration(node: &Rc<Node>, registrations: &[Registration]) {
+/// Registers this VM again if its row is gone: the store may have come back from a copy, or an
+/// earlier incarnation may have unregistered without receiving the response, and the removal may
+/// have taken effect late.
+async fn restore_registration(
+    node: &Rc<Node>,
+    registrations: &[Registration],
+) -> Result<(), StoreError> {
     let own = node.registration();
     if registrations.contains(&own) || node.leaving_since().is_some() {
-        return;
-    }
-    if let Err(error) = (node.store.register_vm)(own).await {
-        log::warn!(event = "register_failed", reason:% = error; "this VM could not be registered again; the next listing retries it");
+        return Ok(());
     }
+    (node.store.register_vm)(own).await?;
+    log::info!(event = "registered", vm = node.settings.name.as_str(); "this VM is registered in the store again");
+    Ok(())
 }
 
 /// Removes the registration of this VM during its shutdown. It registers again when it restarts.
