Tell rows of different tables apart when deletions are inferred from a peer's rows

A whole batch of a peer holds the rows of all tables; whether a known row is still there was asked by its key alone, so a row with the same key in another table hid a deletion. No table of today shares keys with another (no caller saw it); identifiers of targets are not ours to choose. Test: records row_of_another_table_does_not_hide_a_deletion, red before (no deletion), green after.

--- a/crates/catalog/src/replica.rs
+++ b/crates/catalog/src/replica.rs
@@ -73,7 +73,11 @@
     /// `revision`, those of earlier eras included.
     #[must_use]
     pub fn infer_deletions(&self, table: &str, read: &[Record], revision: Revision) -> Vec<Record> {
-        let present: HashSet<&str> = read.iter().map(|row| row.key.as_str()).collect();
+        let present: HashSet<&str> = read
+            .iter()
+            .filter(|row| row.table == table)
+            .map(|row| row.key.as_str())
+            .collect();
         let known = self
             .rows
             .values()
--- a/crates/catalog/tests/records.rs
+++ b/crates/catalog/tests/records.rs
@@ -183,6 +183,20 @@
     assert_eq!(for_newer.records, []);
 }
 
+/// Guards against a row of one table that hides the deletion of a row with its key in another.
+#[test]
+fn row_of_another_table_does_not_hide_a_deletion() {
+    let replica = replica_of(&[record("a", 1, Some("x"))], 2);
+    let other = Record {
+        table: "u".to_owned(),
+        ..record("a", 3, Some("x"))
+    };
+
+    let deletions = replica.infer_deletions("t", &[other], at(7));
+
+    assert_eq!(deletions, [record("a", 7, None)]);
+}
+
 /// A store whose history forks: it may come back from any of its earlier states.
 #[derive(Debug, Clone, Default)]
 struct ForkingStore {
