Wait before a table is read in full again when the last full read did not help

What was seen: a store that keeps no history (it may drop it at any time) was read in full without a pause, 4,078 calls in 5 s by four VMs; 80 VMs would pass the store's 2,000 reads a second, and calls that it rejects delay changes for all. The loop of the incident (watch, 410, full read, about 250 times a second at a VM) was the same one. Cause: 410 led to a full read at once, whatever the last one had brought.

Tests: store_return store_without_history_gets_no_burst_of_calls_and_is_followed, red before; unreadable_era_causes_no_burst_of_store_calls was green before and guards the era's own path.

--- a/crates/gateway/src/store/watch.rs
+++ b/crates/gateway/src/store/watch.rs
@@ -48,11 +48,18 @@
             Ok(()) => {
                 node.record_store_success(&table);
                 needs_full_read = false;
-                retry_delay = MIN_RETRY_DELAY;
+                if !reads_in_full {
+                    retry_delay = MIN_RETRY_DELAY;
+                }
             }
             Err(StoreError::HistoryTruncated) => {
                 log::warn!(event = "history_lost", table = table.as_str(); "store does not have the changes since the known version; reading the whole table");
+                // Not at once if the previous full read did not help.
+                if needs_full_read || retry_delay > MIN_RETRY_DELAY {
+                    tokio::time::sleep(retry_delay).await;
+                }
                 needs_full_read = true;
+                retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
             }
             Err(error) => {
                 node.record_store_failure(&table, &error);
