Decide on eras in a pure type of the catalog

What the store's responses say of its era was decided in methods of the node, which no model or test without processes could reach. catalog::EraTracker decides it now; the node logs, counts and begins the era.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,6 @@
 pub use node::Node;
 pub use settings::{Bounds, Settings};
 pub use store::{
-    Change, DecodeRecord, ListVms, NamedEra, ReadTable, RegisterVm, Registration, Store,
-    StoreFuture, VersionedRows, WatchTable,
+    Change, DecodeRecord, ListVms, ReadTable, RegisterVm, Registration, Store, StoreFuture,
+    VersionedRows, WatchTable,
 };
--- a/crates/gateway/src/node/eras.rs
+++ b/crates/gateway/src/node/eras.rs
@@ -2,13 +2,7 @@
 //!
 //! See `docs/PLATFORM.md`, section "Eras of the store".
 
-use {
-    super::Node,
-    crate::{NamedEra, VersionedRows},
-    std::cmp::Ordering,
-    tokio::sync::watch,
-    wire::Revision,
-};
+use {super::Node, crate::VersionedRows, catalog::EraChange, tokio::sync::watch, wire::Revision};
 
 impl Node {
     /// Returns a receiver that is notified when an era begins.
@@ -23,52 +17,43 @@
         changes: VersionedRows,
         after: Revision,
     ) -> Option<VersionedRows> {
-        let era = self.replica().era();
-        let named = changes.era;
-        if named == NamedEra::Number(era) {
-            self.named_era.set(Some(named));
-        }
-        let is_same_era = self.named_era.get() == Some(named) && named != NamedEra::Unreadable;
-        let is_continued = is_same_era && changes.revision.version() >= after.version();
-        is_continued.then(|| changes.in_era(era))
+        let mut tracker = self.era_tracker.get();
+        let is_continued = tracker.is_continued(changes.era, changes.revision, after);
+        self.era_tracker.set(tracker);
+        is_continued.then(|| changes.in_era(after.era()))
     }
 
     /// Takes over the era of a table that was just read in full from the store, and returns its
     /// rows in the era that holds on this VM. `known` is the revision up to which the table was
     /// known before the call.
-    ///
-    /// If the store names an older era than before or one that cannot be read, or its version went
-    /// back within an era, it may have come back from a copy all the same. The era that holds on
-    /// the VMs is then raised without the store.
     pub(crate) fn accept_table(
         &self,
         read: VersionedRows,
         known: Option<Revision>,
     ) -> VersionedRows {
         let era = self.replica().era();
-        let previous = self.named_era.replace(Some(read.era));
-        let is_new_name = previous.is_some_and(|previous| previous != read.era);
-        let has_gone_back = known
-            .is_some_and(|known| known.era() == era && read.revision.version() < known.version());
-        let begun = match (read.era, read.era.number().cmp(&era)) {
-            (NamedEra::Number(named), Ordering::Greater) => Some(named),
-            (NamedEra::Number(_), Ordering::Equal) if !has_gone_back => None,
-            _ if is_new_name || has_gone_back => {
-                log::warn!(event = "era_went_back", named:? = read.era, known = era, version:% = read.revision; "store names an older era than before or none that can be read, or its version went back; it counts as come back from a copy");
+        let version = read.revision.version();
+        let mut tracker = self.era_tracker.get();
+        let change = tracker.follow(read.era, version, era, known);
+        self.era_tracker.set(tracker);
+        let begun = match change {
+            EraChange::None => return read.in_era(era),
+            EraChange::Begun(begun) => begun,
+            EraChange::Assumed(begun) => {
+                log::warn!(event = "era_went_back", named:? = read.era, known = era, version = version; "store names an older era than before or none that can be read, or its version went back; it counts as come back from a copy");
                 metrics::counter!("cicadalift_eras_gone_back_total").increment(1);
-                Some(era + 1)
+                begun
             }
-            _ => None,
         };
-        if let Some(begun) = begun {
-            self.begin_era(begun, "store");
-        }
-        read.in_era(begun.unwrap_or(era))
+        self.begin_era(begun, "store");
+        read.in_era(begun)
     }
 
     /// Takes over a newer era that another VM has learned of.
     pub(crate) fn accept_era_of_peer(&self, era: u64, peer: &str) {
-        self.named_era.set(None);
+        let mut tracker = self.era_tracker.get();
+        tracker.forget();
+        self.era_tracker.set(tracker);
         self.begin_era(era, peer);
     }
 
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -2,11 +2,10 @@
 
 use {
     crate::{
-        Bounds, Clock, HeaderNames, NamedEra, Registration, Settings, Store, StoreError,
-        http_client::Client,
+        Bounds, Clock, HeaderNames, Registration, Settings, Store, StoreError, http_client::Client,
     },
     balance::{Balancer, RetryBudget},
-    catalog::{Catalog, RecordReplica},
+    catalog::{Catalog, EraTracker, RecordReplica},
     member::{Timeouts, View},
     route::{RouteTable, WeightedRoundRobin},
     std::{
@@ -67,10 +66,7 @@
     /// Wakes requests of peers for rows. Holds the revision up to which the table that changed last
     /// is complete.
     replica_revision: watch::Sender<Revision>,
-    /// Era that the store named last, or `None` if it has not responded since another VM told of a
-    /// new era. It differs from the era of the rows after the store named an older one, or one
-    /// that cannot be read.
-    pub(super) named_era: Cell<Option<NamedEra>>,
+    pub(super) era_tracker: Cell<EraTracker>,
     /// Wakes the calls that began in an earlier era. Counts the eras that have begun.
     pub(super) era_changes: watch::Sender<u64>,
     /// Time until which this VM watches the store itself because its update source failed.
@@ -126,7 +122,7 @@
             table_health: RefCell::default(),
             last_store_contact: Cell::default(),
             replica_revision: watch::Sender::new(Revision::default()),
-            named_era: Cell::default(),
+            era_tracker: Cell::default(),
             era_changes: watch::Sender::new(0),
             source_bypass_until: Cell::new(Duration::ZERO),
             leaving: watch::Sender::new(None),
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -7,8 +7,8 @@
 mod watch;
 
 pub use port::{
-    Change, DecodeRecord, ListVms, NamedEra, ReadTable, RegisterVm, Registration, Store,
-    StoreFuture, VersionedRows, WatchTable,
+    Change, DecodeRecord, ListVms, ReadTable, RegisterVm, Registration, Store, StoreFuture,
+    VersionedRows, WatchTable,
 };
 pub(crate) use pull::pull_missing_rows;
 pub(crate) use registration::{maintain_registration, unregister_vm};
--- a/crates/gateway/src/store/port.rs
+++ b/crates/gateway/src/store/port.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::StoreError,
-    catalog::Target,
+    catalog::{NamedEra, Target},
     route::RouteConfiguration,
     std::{future::Future, net::SocketAddr, pin::Pin, rc::Rc, time::Duration},
     wire::{Record, Revision},
@@ -11,27 +11,6 @@
 /// The result of a store call, awaited on the same thread.
 pub type StoreFuture<T> = Pin<Box<dyn Future<Output = Result<T, StoreError>>>>;
 
-/// How the store names its era in a response.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum NamedEra {
-    /// By a number, which rises when the store comes back from an older copy. A store that has no
-    /// eras counts as one in era 0.
-    Number(u64),
-    /// By something that is not a number.
-    Unreadable,
-}
-
-impl NamedEra {
-    /// Returns the number, or 0 if there is none.
-    #[must_use]
-    pub fn number(self) -> u64 {
-        match self {
-            Self::Number(number) => number,
-            Self::Unreadable => 0,
-        }
-    }
-}
-
 /// Rows of one table: all of them, or those that changed after a known revision.
 #[derive(Debug, Clone)]
 pub struct VersionedRows {
