Do not take a row that was deleted before the first full read from a peer behind

What callers would see: requests to a target that has left. Cause: a VM that starts and reads the store in full never hears of the deletions before; a peer that is behind (cut off from the store) gives it such a row, which it does not know, so it takes it, and no later change removes it. In a test: records row_deleted_before_the_first_full_read_is_not_taken_from_a_peer_that_is_behind, red before.

Mend: a table that is complete up to a revision has all live rows up to it, so an unknown row of a revision at or below is not applied.

--- a/crates/catalog/src/replica.rs
+++ b/crates/catalog/src/replica.rs
@@ -10,7 +10,7 @@
 
 /// Rows of one era by table and key. Each is a [`Record`], which holds the revision of the row's
 /// last change; a deleted row remains as a tombstone, a record without value.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct RecordReplica {
     era: u64,
     rows: Map<(String, String), Record>,
@@ -48,11 +48,19 @@
 
     /// Applies a row of the current era if it is newer than the known one, and returns whether it
     /// was applied. Rows of other eras are not.
+    ///
+    /// A row that is not known although its table is complete beyond it has been deleted since. A
+    /// peer that is behind may still have it.
     pub fn apply(&mut self, record: &Record) -> bool {
         if record.revision.era() != self.era {
             return false;
         }
         let id = (record.table.clone(), record.key.clone());
+        let complete = self.table_revision(&record.table);
+        let is_covered = complete.is_some_and(|complete| record.revision <= complete);
+        if is_covered && !self.rows.contains_key(&id) {
+            return false;
+        }
         if let Some(known) = self.rows.get(&id) {
             if known.revision >= record.revision {
                 return false;
--- a/crates/catalog/tests/records.rs
+++ b/crates/catalog/tests/records.rs
@@ -112,6 +112,16 @@
     assert_eq!((batch.revision, batch.whole), (at(0), false));
 }
 
+/// Guards against requests to a target that left before this VM read its table, because a peer that
+/// is behind still has its row.
+#[test]
+fn row_deleted_before_the_first_full_read_is_not_taken_from_a_peer_that_is_behind() {
+    let mut replica = replica_of(&[record("b", 2, Some("x"))], 5);
+
+    assert!(!replica.apply(&record("a", 1, Some("x"))));
+    assert!(replica.apply(&record("a", 6, Some("x"))));
+}
+
 /// Guards against a row that is taken for an old one, because the store gave its version out
 /// before it came back from an older copy.
 #[test]
