--- a/crates/model/src/eras.rs
+++ b/crates/model/src/eras.rs
@@ -253,7 +253,7 @@
                 vm.handle_changes(variant, after, &records, revision);
             }
             (Call::Read { known }, Response::Rows { records, revision }) => {
-                vm.handle_table(variant, known, records, revision);
+                vm.handle_table(variant, known, &records, revision);
             }
         }
     }
@@ -341,7 +341,7 @@
         &mut self,
         variant: Variant,
         known: Option<Revision>,
-        records: Vec<Record>,
+        records: &[Record],
         revision: Revision,
     ) {
         let named = NamedEra::Number(revision.era());
