Hold a deletion after an outage only until targets have had time to register again

What callers and targets saw: DRAIN broken, requests reached a target 2.69 s after it had left (bound 2.5 s).

Cause: the store was back for VM edge-dj-a-1 at 19.02 s; it heard at 21.42 s, 0.1 s before the time was over in which targets write themselves again, that the target's row was gone (deleted at 20.45 s), took that for a lapse of the outage and used the target for 1.7 s more, to 23.16 s. The wait was counted from when a VM hears of a deletion, not from the store's return.

Mend: the wait ends at the latest when the store has been back for 2.5 s. Test: catalog deletion_is_not_delayed_beyond_the_time_in_which_targets_register_again (its wait was 1.7 s for each deletion before).

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -6,7 +6,7 @@
     wire::{Map, Revision},
 };
 
-/// Delay before a deletion right after a store outage takes effect. Such a deletion may only be
+/// Longest delay before a deletion right after a store outage takes effect. Such a deletion may only be
 /// the expiry of a lease that a live target could not renew during the outage, or a row that the
 /// store lost and that a live target writes again.
 const DELETION_GRACE: Duration = Duration::from_millis(1700);
@@ -90,26 +90,26 @@
     /// Removes a target whose row was deleted or has become invalid. Returns false if `revision`
     /// is not newer than the known one.
     ///
-    /// With `after_outage`, the store has only just become available again. The deletion is then
-    /// delayed, since a live target may still register again.
+    /// With `settled_at`, the store has only just become available again. The deletion is then
+    /// delayed, at most until that time, since a live target may still register again.
     pub fn remove(
         &mut self,
         id: &str,
         revision: Revision,
-        after_outage: bool,
+        settled_at: Option<Duration>,
         now: Duration,
     ) -> bool {
         if !self.is_newer(id, revision) {
             return false;
         }
         let known = self.entries.get(id).cloned();
-        let entry = match known {
-            Some(mut entry) if after_outage && entry.target.is_some() => {
+        let entry = match (known, settled_at) {
+            (Some(mut entry), Some(settled_at)) if entry.target.is_some() => {
                 entry.revision = revision;
-                entry.delete_at = Some(now + DELETION_GRACE);
+                entry.delete_at = Some(settled_at.min(now + DELETION_GRACE));
                 entry
             }
-            known => Entry {
+            (known, _) => Entry {
                 revision,
                 target: None,
                 last_report: known.and_then(|entry| entry.last_report),
--- a/crates/catalog/tests/catalog.rs
+++ b/crates/catalog/tests/catalog.rs
@@ -7,6 +7,8 @@
 };
 
 const NOW: Duration = Duration::from_secs(100);
+/// When targets have had time to register again after an outage of the store.
+const SETTLED_AT: Duration = Duration::from_secs(104);
 
 /// Revision of the era before the store came back from a copy.
 fn old(version: u64) -> Revision {
@@ -65,7 +67,7 @@
 fn removal_for_invalid_row_affects_only_its_target() {
     let mut catalog = catalog_of(&[target("a"), target("b")]);
 
-    catalog.remove("a", old(9), false, NOW);
+    catalog.remove("a", old(9), None, NOW);
 
     assert_eq!(usable_ids(&catalog), ["b"]);
 }
@@ -74,7 +76,7 @@
 fn deletion_after_store_outage_takes_effect_after_grace() {
     let mut catalog = catalog_of(&[target("a")]);
 
-    catalog.remove("a", old(9), true, NOW);
+    catalog.remove("a", old(9), Some(SETTLED_AT), NOW);
     let before_grace_ends = usable_ids(&catalog);
     let expired = catalog.expire_deletions(NOW + Duration::from_secs(2));
 
@@ -83,11 +85,24 @@
     assert_eq!(usable_ids(&catalog), Vec::<String>::new());
 }
 
+/// Guards against requests to a target that left while the time after an outage in which targets
+/// register again was nearly over: its deletion waited for as long again.
+#[test]
+fn deletion_is_not_delayed_beyond_the_time_in_which_targets_register_again() {
+    let mut catalog = catalog_of(&[target("a")]);
+    let settled_at = NOW + Duration::from_millis(100);
+
+    catalog.remove("a", old(9), Some(settled_at), NOW);
+    let expired = catalog.expire_deletions(settled_at);
+
+    assert_eq!(expired, ["a"]);
+}
+
 #[test]
 fn target_that_registers_again_after_store_outage_is_kept() {
     let mut catalog = catalog_of(&[target("a")]);
 
-    catalog.remove("a", old(9), true, NOW);
+    catalog.remove("a", old(9), Some(SETTLED_AT), NOW);
     catalog.upsert(target("a"), old(10), NOW + Duration::from_secs(1));
     catalog.expire_deletions(NOW + Duration::from_secs(3));
 
@@ -191,7 +206,7 @@
 #[test]
 fn target_that_had_left_stays_away_until_it_reports_again() {
     let mut catalog = catalog_of(&[report("a", 5)]);
-    catalog.remove("a", old(9), false, NOW);
+    catalog.remove("a", old(9), None, NOW);
 
     catalog.upsert(report("a", 5), new(3), NOW);
     let usable_from_copy = usable_ids(&catalog);
@@ -207,7 +222,7 @@
 fn target_missing_from_one_copy_and_present_in_the_next_is_kept() {
     let mut catalog = catalog_of(&[report("a", 5)]);
 
-    catalog.remove("a", new(3), true, NOW);
+    catalog.remove("a", new(3), Some(SETTLED_AT), NOW);
     catalog.upsert(report("a", 5), Revision::new(2, 4), NOW);
     catalog.expire_deletions(NOW + Duration::from_secs(3));
 
--- a/crates/gateway/src/node/changes.rs
+++ b/crates/gateway/src/node/changes.rs
@@ -69,10 +69,11 @@
         after_outage: bool,
     ) {
         let now = self.now();
+        let settled_at = after_outage.then(|| self.store_settles_at());
         if self
             .catalog
             .borrow_mut()
-            .remove(id, row_revision, after_outage, now)
+            .remove(id, row_revision, settled_at, now)
         {
             log::info!(event = "target_gone", target = id, row:% = row_revision, reason = reason, held = after_outage; "target row deleted or invalid; its target is removed, or kept for a while if held");
         }
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -288,12 +288,22 @@
     /// Returns whether the store has been reachable for [`SETTLE_TIME`], so that targets have had
     /// time to renew rows that expired during an outage.
     pub(crate) fn is_store_settled(&self) -> bool {
+        self.store_settles_at() <= self.now()
+    }
+
+    /// Returns when the store has been, or will have been, reachable for [`SETTLE_TIME`], if it
+    /// stays so from now on.
+    pub(crate) fn store_settles_at(&self) -> Duration {
         let now = self.now();
         let table_health = self.table_health.borrow();
-        table_health.values().all(|health| {
-            let is_recent = |at: Duration| now.saturating_sub(at) < SETTLE_TIME;
-            health.failing_since.is_none() && !health.recovered_at.is_some_and(is_recent)
-        })
+        let times = table_health.values().map(|health| {
+            if health.failing_since.is_some() {
+                return now + SETTLE_TIME;
+            }
+            let recovered_at = health.recovered_at;
+            recovered_at.map_or(Duration::ZERO, |at| at + SETTLE_TIME)
+        });
+        times.max().unwrap_or_default()
     }
 
     /// Returns whether this VM has routes and targets, without which it cannot serve requests.
