Let a VM that restarted with an earlier clock be a member again

If the clock was set back between two starts (by more than the first one ran), the others take the new incarnation for an older one and ignore its messages, until they forget the lost one. Evidence: member view vm_that_restarted_with_an_earlier_clock_is_alive_again, red before (the member stays gone although it has just sent a message).

Mend: whoever hears from such an incarnation gossips the one that it knows again; a VM that hears of an incarnation of its own above its own number takes one above that.

--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -92,6 +92,8 @@
             Some(record) if is_same_version(&record.member, from) => {
                 record.member.control = record.member.control.max(from.control);
             }
+            // The sender has restarted with an earlier clock. It is told of the known incarnation.
+            Some(record) if record.member.boot_ms > from.boot_ms => record.sends = 0,
             _ => self.merge_record(from, now),
         }
     }
@@ -271,8 +273,14 @@
     }
 
     /// Refutes a suspicion against this VM by raising the version of its own record (`beat`)
-    /// above that of the suspicion.
+    /// above that of the suspicion. The record of an incarnation that seems to be newer is one from
+    /// before a restart with an earlier clock; this incarnation then takes a number above it.
     fn refute(&mut self, suspicion: &Member) {
+        if suspicion.boot_ms > self.local.boot_ms {
+            self.local.boot_ms = suspicion.boot_ms + 1;
+            self.generation += 1;
+            return;
+        }
         let is_suspected = matches!(suspicion.status, Status::Suspect | Status::Gone);
         if is_suspected
             && suspicion.boot_ms == self.local.boot_ms
--- a/crates/member/tests/view.rs
+++ b/crates/member/tests/view.rs
@@ -151,3 +151,22 @@
         assert_eq!(probed, all.map(|name| Some(name.to_owned())));
     }
 }
+
+/// Guards against a VM that the others take for gone, because its clock was set back before it
+/// restarted, so that its incarnation seems to be older than the one that was lost.
+#[test]
+fn vm_that_restarted_with_an_earlier_clock_is_alive_again() {
+    let mut observer = view();
+    observer.merge(&[member("a", 5_000, 0, Status::Gone)], at(1));
+    observer.merge(&[member("a", 5_000, 0, Status::Alive)], at(1));
+    observer.mark_suspect("a", at(2));
+    observer.expire_members(at(10));
+    let mut restarted = View::new(member("a", 4_000, 0, Status::Alive), Timeouts::default());
+
+    observer.record_contact(restarted.local_member(), at(11));
+    let updates = observer.take_updates(6);
+    restarted.merge(&updates, at(1));
+    observer.record_contact(restarted.local_member(), at(12));
+
+    assert!(observer.is_alive("a"));
+}
