Order the load reports of a pool's owner by its incarnation

What callers of the product's own interface would see: after a VM restarts, the others do not know the wait in its pools for as long as it had run before, and steer without it.

Mend: a report bears the incarnation of its owner (wire::Pool.boot_ms), which goes first.

--- a/crates/entry/src/node/state.rs
+++ b/crates/entry/src/node/state.rs
@@ -1,7 +1,7 @@
 //! Mutable state of a node.
 
 use {
-    super::{LookupIndex, PoolKey, PoolState, Proximity, RefusalLog, Reports, rate_limits},
+    super::{LookupIndex, PoolKey, PoolState, Proximity, RefusalLog, rate_limits},
     control::Replica,
     member::View,
     settings::Fleet,
@@ -9,7 +9,7 @@
         collections::{BTreeMap, BTreeSet},
         time::Duration,
     },
-    steer::{Quarantine, RegionTable, RetryBudget},
+    steer::{LoadReports, Quarantine, RegionTable, RetryBudget},
     wire::{Document, Kind, Map, Member, Revision},
 };
 
@@ -27,7 +27,7 @@
     /// Membership as this VM sees it.
     pub(crate) view: View,
     pub(crate) pools: BTreeMap<PoolKey, PoolState>,
-    pub(crate) reports: Reports,
+    pub(crate) reports: LoadReports,
     pub(crate) quarantine: Quarantine,
     /// Retry budgets, keyed by service.
     pub(crate) retry_budgets: Map<String, RetryBudget>,
@@ -58,7 +58,7 @@
             fleet,
             replica: Replica::default(),
             view,
-            reports: Reports::default(),
+            reports: LoadReports::default(),
             quarantine: Quarantine::default(),
             retry_budgets: Map::default(),
             last_ticket: 0,
--- a/crates/entry/src/peers/gossip.rs
+++ b/crates/entry/src/peers/gossip.rs
@@ -159,7 +159,8 @@
 /// Publishes the load of the pools that this VM owns, for the next gossip messages.
 pub(crate) fn report_pools(state: &mut State, now: Duration) {
     state.report_sequence += 1;
-    let local_name = state.view.local_member().name.clone();
+    let local = state.view.local_member();
+    let (local_name, boot_ms) = (local.name.clone(), local.boot_ms);
     let beat = state.report_sequence;
     let admitting = state
         .pools
@@ -172,6 +173,7 @@
                 service: key.service.clone(),
                 site: key.site.clone(),
                 owner: local_name.clone(),
+                boot_ms,
                 beat,
                 free: snapshot.free_slots,
                 queued: snapshot.queued,
--- a/crates/entry/src/steering/route.rs
+++ b/crates/entry/src/steering/route.rs
@@ -123,7 +123,7 @@
         let mut state = context.node.state();
         state
             .reports
-            .record_refusal(&key, response.retry_after, now);
+            .record_refusal(&key.service, &key.site, response.retry_after, now);
     }
     log::debug!(event = "site_asked", request = request.id.as_str(), site = key.site.as_str(), reason:% = response.reason; "tried to place the request in a site");
     response
@@ -261,7 +261,7 @@
         Some(pool_state) => pool_state.pool.expected_wait(class, now),
         None => state
             .reports
-            .expected_wait(key, now)
+            .expected_wait(&key.service, &key.site, now)
             .unwrap_or(UNKNOWN_WAIT),
     };
     u32::try_from(wait.as_millis()).unwrap_or(u32::MAX)
--- a/crates/measure/src/scaling.rs
+++ b/crates/measure/src/scaling.rs
@@ -251,6 +251,7 @@
         service: "racegate".to_owned(),
         site: format!("site-{index}"),
         owner: format!("cebu-a-vm{index}"),
+        boot_ms: 1,
         beat: 70_000,
         free: 7,
         queued: 3,
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -5,6 +5,7 @@
 //! `docs/DESIGN.md`, sections "Slots and queues", "Caps" and "Retries and poison requests".
 
 mod health;
+mod load_reports;
 mod pool;
 mod quarantine;
 mod region_table;
@@ -13,6 +14,7 @@
 mod sliding_window;
 
 pub use health::Health;
+pub use load_reports::LoadReports;
 pub use pool::{
     Admission, Completion, Grant, Pool, PoolSnapshot, RateLimits, RequestClass, SlotRequest,
     TargetSnapshot,
--- a/crates/entry/src/node/reports.rs
+++ b/crates/steer/src/load_reports.rs
@@ -1,7 +1,7 @@
 //! Load reports of pools, which their owners spread by gossip.
 
 use {
-    super::PoolKey,
+    crate::pool_name,
     std::time::Duration,
     wire::{Map, Pool},
 };
@@ -12,6 +12,7 @@
 const REPORT_TTL: Duration = Duration::from_secs(3);
 
 /// A report with its time of arrival and the number of gossip messages that carried it.
+#[derive(Debug)]
 struct ReceivedReport {
     report: Pool,
     received_at: Duration,
@@ -19,26 +20,27 @@
 }
 
 /// The expected wait that a pool's owner stated when it refused a request of this VM.
+#[derive(Debug)]
 struct Refusal {
     wait: Duration,
     received_at: Duration,
 }
 
 /// The newest report and the last refusal of each pool, keyed by pool name.
-#[derive(Default)]
-pub(crate) struct Reports {
+#[derive(Debug, Default)]
+pub struct LoadReports {
     received: Map<String, ReceivedReport>,
     refusals: Map<String, Refusal>,
 }
 
-impl Reports {
-    /// Stores a report unless the stored one comes from the same owner and is at least
-    /// as new.
-    pub(crate) fn accept(&mut self, report: &Pool, now: Duration) {
-        let name = steer::pool_name(&report.service, &report.site);
+impl LoadReports {
+    /// Stores a report unless the stored one comes from the same owner and is at least as new: of
+    /// a newer incarnation, or of the same one with a sequence number as high.
+    pub fn accept(&mut self, report: &Pool, now: Duration) {
+        let name = pool_name(&report.service, &report.site);
         let is_outdated = self.received.get(&name).is_some_and(|received| {
             let same_owner = received.report.owner == report.owner;
-            same_owner && received.report.beat >= report.beat
+            same_owner && order(&received.report) >= order(report)
         });
         if is_outdated {
             return;
@@ -52,21 +54,21 @@
     }
 
     /// Records the wait that an owner stated when it refused a request.
-    pub(crate) fn record_refusal(&mut self, key: &PoolKey, wait: Duration, now: Duration) {
+    pub fn record_refusal(&mut self, service: &str, site: &str, wait: Duration, now: Duration) {
         let refusal = Refusal {
             wait,
             received_at: now,
         };
-        self.refusals
-            .insert(steer::pool_name(&key.service, &key.site), refusal);
+        self.refusals.insert(pool_name(service, site), refusal);
     }
 
     /// Returns the expected wait in a pool from its owner's last refusal or report,
     /// whichever is newer, or `None` if both are missing or stale.
     ///
     /// A refusal is valid until the wait that it stated has passed; the remainder is returned.
-    pub(crate) fn expected_wait(&self, key: &PoolKey, now: Duration) -> Option<Duration> {
-        let name = steer::pool_name(&key.service, &key.site);
+    #[must_use]
+    pub fn expected_wait(&self, service: &str, site: &str, now: Duration) -> Option<Duration> {
+        let name = pool_name(service, site);
         let received = self
             .received
             .get(&name)
@@ -90,7 +92,7 @@
 
     /// Returns up to `max_reports` reports for a gossip message, those transmitted least
     /// first, and counts the transmission.
-    pub(crate) fn take_updates(&mut self, max_reports: usize) -> Vec<Pool> {
+    pub fn take_updates(&mut self, max_reports: usize) -> Vec<Pool> {
         let pending = self
             .received
             .values_mut()
@@ -106,7 +108,8 @@
     }
 
     /// Returns every stored report, for the state dump.
-    pub(crate) fn all(&self) -> Vec<&Pool> {
+    #[must_use]
+    pub fn all(&self) -> Vec<&Pool> {
         self.received
             .values()
             .map(|received| &received.report)
@@ -114,6 +117,11 @@
     }
 }
 
+/// Returns the order of a report among those of its owner: by incarnation, then by number.
+fn order(report: &Pool) -> (u64, u64) {
+    (report.boot_ms, report.beat)
+}
+
 fn reported_wait(received: &ReceivedReport) -> Duration {
     Duration::from_millis(u64::from(received.report.wait_ms))
 }
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -356,8 +356,10 @@
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, Eq, Hash, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Pool {
-    #[doc = "Sequence number set by the owner; a report with a lower number is older."]
+    #[doc = "Sequence number within the incarnation of the owner; a report with a lower number is older."]
     pub beat: u64,
+    #[doc = "Incarnation of the owner, as in its membership record."]
+    pub boot_ms: u64,
     #[doc = "Number of free slots."]
     pub free: u32,
     pub owner: ::std::string::String,
