Keep a departed target away whatever number its report in the copy has

What targets would see: requests after they have left, because the copy brings their entry back. Cause: of a target that has left, a report counted as old up to the number of the last one that this VM was told of; the store counts reports that change nothing else without telling of them, so the copy's may be higher. Found by reading; test catalog target_that_had_left_stays_away_whatever_number_its_report_in_the_copy_has, red before.

Mend: any report of the process that had left is old at the beginning of an era; one that is written after it, or one of a new process, counts. Runs only when an era begins.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -6,9 +6,9 @@
     wire::{Map, Revision},
 };
 
-/// Longest delay before a deletion right after a store outage takes effect. Such a deletion may only be
-/// the expiry of a lease that a live target could not renew during the outage, or a row that the
-/// store lost and that a live target writes again.
+/// Longest delay before a deletion right after a store outage takes effect. Such a deletion may
+/// only be the expiry of a lease that a live target could not renew during the outage, or a row
+/// that the store lost and that a live target writes again.
 const DELETION_GRACE: Duration = Duration::from_millis(1700);
 /// Time after the end of an evacuation during which all targets of the zone count as cold,
 /// because some may have cooled down without reporting it.
@@ -29,6 +29,9 @@
 impl Entry {
     /// Returns whether a row of another era holds an older state of the target than the one that
     /// is known: the store lost the newer one, and the target writes it again if it lives.
+    ///
+    /// Of a target that has left, any report of the same process is older: the store counts reports
+    /// that change nothing else without telling of them.
     fn outdates(&self, target: &Target, revision: Revision) -> bool {
         if self.revision.era() == revision.era() {
             return false;
@@ -36,7 +39,7 @@
         let has_left = self.target.is_none();
         let report = target.report();
         self.last_report
-            .is_some_and(|last| report < last || (has_left && report == last))
+            .is_some_and(|last| report < last || (has_left && report.is_of_same_process(last)))
     }
 }
 
--- a/crates/catalog/src/replica.rs
+++ b/crates/catalog/src/replica.rs
@@ -31,8 +31,8 @@
         self.era
     }
 
-    /// Begins an era, or the current one anew. No table is complete until it has been read in
-    /// full; then the rows known from before that are missing from it have been deleted.
+    /// Begins an era. No table is complete until it has been read in full; then the rows known
+    /// from before that are missing from it have been deleted.
     pub fn begin_era(&mut self, era: u64) {
         for ((table, key), row) in self.rows.drain() {
             if row.value.is_some() {
--- a/crates/catalog/src/target.rs
+++ b/crates/catalog/src/target.rs
@@ -50,3 +50,9 @@
     started_at_ms: u64,
     number: u64,
 }
+
+impl Report {
+    pub(crate) fn is_of_same_process(self, other: Self) -> bool {
+        self.started_at_ms == other.started_at_ms
+    }
+}
--- a/crates/catalog/tests/catalog.rs
+++ b/crates/catalog/tests/catalog.rs
@@ -216,6 +216,18 @@
     assert_eq!(usable_ids(&catalog), ["a"]);
 }
 
+/// Guards against requests to a target that has left, because the copy counts more of its reports
+/// than this VM was told of.
+#[test]
+fn target_that_had_left_stays_away_whatever_number_its_report_in_the_copy_has() {
+    let mut catalog = catalog_of(&[report("a", 1)]);
+    catalog.remove("a", old(9), None, NOW);
+
+    catalog.upsert(report("a", 55), new(3), NOW);
+
+    assert_eq!(usable_ids(&catalog), Vec::<String>::new());
+}
+
 /// Guards against a target that is dropped after a second return, whose copy has it, because the
 /// copy of the first one did not.
 #[test]
