--- a/crates/gateway/src/frontend/serve.rs
+++ b/crates/gateway/src/frontend/serve.rs
@@ -167,10 +167,12 @@
     let host = head.host.as_str();
     let version = table.version();
     let row = node.replica().newest_revision();
-    let heard_ms_ago = node.time_since_store_contact().map(duration_ms);
+    let heard_ms_ago = node.time_since_store_contact();
+    let heard_ms_ago =
+        heard_ms_ago.map_or_else(|| "never".to_owned(), |time| duration_ms(time).to_string());
     match error {
         LookupError::NoMatch => {
-            log::info!(event = "request_refused", request = id, status = 404, reason = "no route", host = host, version = version, row:% = row, heard_ms_ago:? = heard_ms_ago; "request refused: no route matches its host and path");
+            log::info!(event = "request_refused", request = id, status = 404, reason = "no route", host = host, version = version, row:% = row, heard_ms_ago = heard_ms_ago.as_str(); "request refused: no route matches its host and path");
             text_response(StatusCode::NOT_FOUND, "no route")
         }
         LookupError::Unusable => {
--- a/crates/gateway/src/store/watch.rs
+++ b/crates/gateway/src/store/watch.rs
@@ -82,7 +82,8 @@
     let changed = apply_records(node, &read.records, after_outage);
     apply_records(node, &deletions, after_outage);
     node.mark_table_complete(table, read.revision);
-    log::info!(event = "table_read", table = table, version:% = read.revision, known:? = known.map(|known| known.to_string()), rows = read.records.len(), changed = changed, deleted = deletions.len(), held = after_outage; "whole table read from the store; deletions wait for a while if held");
+    let known = known.map_or_else(|| "nothing".to_owned(), |known| known.to_string());
+    log::info!(event = "table_read", table = table, version:% = read.revision, known = known.as_str(), rows = read.records.len(), changed = changed, deleted = deletions.len(), held = after_outage; "whole table read from the store; deletions wait for a while if held");
     metrics::counter!("cicadalift_table_reads_total", "table" => table.to_owned()).increment(1);
     Ok(())
 }
