Base a change on the control document in force if the table service has an older one

What operators of the product's own interface would see: a change that is accepted and in force on no VM.

Mend: the proposer gets the newer of the stored document and the one in force on its VM; the write is still conditional on the row that was read, so no other change is lost.

--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -21,6 +21,18 @@
         self.current.as_ref().map_or(0, |document| document.version)
     }
 
+    /// Returns the newer of the stored document and the one in force.
+    ///
+    /// The stored one is older if the table service has come back from an older copy. A change must
+    /// then be based on the one in force, as VMs apply no version below it.
+    #[must_use]
+    pub fn newer_of(&self, stored: Document) -> Document {
+        match &self.current {
+            Some(current) if current.version > stored.version => current.clone(),
+            _ => stored,
+        }
+    }
+
     /// Replaces the document if `document` is newer. Returns whether it was replaced.
     pub fn adopt(&mut self, document: &Document) -> bool {
         if document.version <= self.version() {
--- a/crates/entry/src/operator/propose.rs
+++ b/crates/entry/src/operator/propose.rs
@@ -66,8 +66,9 @@
     }
 }
 
-/// Reads the control document and the version of its row. In a new fleet it first
-/// writes the initial document. Any failure is returned as a lost response.
+/// Reads the control document and the version of its row, and returns that document or the one in
+/// force on this VM, whichever is newer. In a new fleet it first writes the initial document. Any
+/// failure is returned as a lost response.
 async fn read_row(
     node: &Arc<Node>,
     platform: &Platform,
@@ -82,7 +83,15 @@
         return StoreEvent::ResponseLost;
     };
     *row_version = Some(row.version);
-    serde_json::from_str(&row.value).map_or(StoreEvent::ResponseLost, StoreEvent::Read)
+    let Ok(stored) = serde_json::from_str::<Document>(&row.value) else {
+        return StoreEvent::ResponseLost;
+    };
+    let stored_version = stored.version;
+    let base = node.state().replica.newer_of(stored);
+    if base.version > stored_version {
+        log::warn!(event = "control_went_back", stored = stored_version, in_force = base.version; "table service has an older control document than the one in force; the change is based on that one");
+    }
+    StoreEvent::Read(base)
 }
 
 /// Writes the document if its row still has the version `row_version`. Any failure but
--- a/crates/rig/src/control.rs
+++ b/crates/rig/src/control.rs
@@ -25,6 +25,26 @@
         self.admin.post_json(&url, fault).await.map(drop)
     }
 
+    /// Makes the platform keep a copy of its rows.
+    ///
+    /// # Errors
+    /// [`RigError::InvalidResponse`] if the stand-in does not confirm it.
+    pub async fn copy_platform(&self) -> Result<(), RigError> {
+        let address = self.addresses.stand_in(PLATFORM_INDEX);
+        let url = format!("http://{address}/control/copy");
+        self.admin.post_json(&url, &()).await.map(drop)
+    }
+
+    /// Makes the platform come back from its copy.
+    ///
+    /// # Errors
+    /// [`RigError::InvalidResponse`] if the stand-in does not confirm it.
+    pub async fn return_platform(&self) -> Result<(), RigError> {
+        let address = self.addresses.stand_in(PLATFORM_INDEX);
+        let url = format!("http://{address}/control/return");
+        self.admin.post_json(&url, &()).await.map(drop)
+    }
+
     /// Returns the numbers of calls that the platform has received since its start.
     ///
     /// # Errors
--- a/crates/rig/tests/control.rs
+++ b/crates/rig/tests/control.rs
@@ -382,3 +382,28 @@
     assert!(audit.guarantees_hold(), "{audit:?}");
     assert_eq!(audit.answered, audit.sent, "{audit:?}");
 }
+
+/// Guards against an accepted change that no VM puts in force, because the table service came back
+/// from an older copy and the change got a version that had been given out before.
+#[actix_rt::test]
+async fn change_after_the_table_service_came_back_from_a_copy_is_in_force_everywhere() {
+    let rig = Rig::start(Options::default()).await.unwrap();
+    rig.copy_platform().await.unwrap();
+    let vm = &rig.vm_specs[0];
+    let preset = rig.admin.propose_change(vm, switch_preset("peak", 1)).await;
+    wait_for_version(&rig, preset.unwrap().document.version, TIMEOUT).await;
+
+    rig.return_platform().await.unwrap();
+    let vm = &rig.vm_specs[1];
+    let mark = mark_leaving(Kind::Zone, "cebu-a");
+    let decision = rig.admin.propose_change(vm, mark).await.unwrap();
+
+    assert_eq!(decision.verdict, Verdict::Accepted);
+    wait_for_version(&rig, decision.document.version, TIMEOUT).await;
+    for vm in &rig.vm_specs {
+        let dump = rig.admin.fetch_state(vm).await.unwrap();
+        assert_eq!(dump["control"]["preset"], "peak", "{}", vm.name);
+        let marks = dump["control"]["marks"].as_array();
+        assert_eq!(marks.map(Vec::len), Some(1), "{}", vm.name);
+    }
+}
