--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -52,8 +52,8 @@
 
 impl Catalog {
     /// Inserts or replaces a target. Returns false if `revision` is not newer than the known one,
-    /// or if the row holds an older report of the target, from before the store came back from a
-    /// copy.
+    /// or if the row holds an older report of the target, from before the store was restored
+    /// from a snapshot.
     pub fn upsert(&mut self, target: Target, revision: Revision, now: Duration) -> bool {
         if !self.is_newer(&target.id, revision) {
             return false;
--- a/crates/catalog/src/era.rs
+++ b/crates/catalog/src/era.rs
@@ -1,12 +1,12 @@
-//! Decides from the store's responses whether it has come back from an older copy.
+//! Decides from the store's responses whether it was restored from an older snapshot.
 
 use wire::Revision;
 
 /// How the store names its era in a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum NamedEra {
-    /// By a number, which rises when the store comes back from an older copy. A store that has no
-    /// eras counts as one in era 0.
+    /// By a number, which rises when the store is restored from an older snapshot. A store that
+    /// has no eras counts as one in era 0.
     Number(u64),
     /// By something that is not a number.
     Unreadable,
@@ -31,8 +31,8 @@
     /// The store has begun this era.
     Begun(u64),
     /// The store names an older era than before or one that cannot be read, or its version went
-    /// back within an era. It may have come back from a copy all the same, so the era that holds
-    /// on the VMs is raised to this one.
+    /// back within an era. It may have been restored from a snapshot all the same, so the era that
+    /// holds on the VMs is raised to this one.
     Assumed(u64),
 }
 
--- a/crates/catalog/src/evacuation.rs
+++ b/crates/catalog/src/evacuation.rs
@@ -38,7 +38,7 @@
 
     /// Applies a newer row. Returns whether the state changed.
     ///
-    /// The first row of another era may be from the copy that the store came back from. If it
+    /// The first row of another era may be from the snapshot that the store was restored from. If it
     /// contradicts the known state, it takes effect only after a time in which the operator
     /// writes again what was lost.
     pub(crate) fn update(&mut self, is_active: bool, revision: Revision, now: Duration) -> bool {
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`Catalog`] receives rows with their store revision and determines which targets may receive
 //! requests. A row never overrides a newer one, whichever source delivers it.
 //! [`RecordReplica`] keeps the rows themselves and passes them on to peers; [`EraTracker`] tells
-//! when the store has come back from an older copy. Nothing here does
+//! when the store was restored from an older snapshot. Nothing here does
 //! I/O or reads a clock: every `now` is an argument, the time since the start of the process.
 //! See `docs/PLATFORM.md`, section "Targets".
 
--- a/crates/catalog/tests/catalog.rs
+++ b/crates/catalog/tests/catalog.rs
@@ -10,7 +10,7 @@
 /// When targets have had time to register again after an outage of the store.
 const SETTLED_AT: Duration = Duration::from_secs(104);
 
-/// Revision of the era before the store came back from a copy.
+/// Revision of the era before the store was restored from a snapshot.
 fn old(version: u64) -> Revision {
     Revision::new(0, version)
 }
@@ -166,8 +166,8 @@
     }
 }
 
-/// Guards against requests to a target that drains, because the store came back from a copy that
-/// has an older report of it.
+/// Guards against requests to a target that drains, because the store was restored from a snapshot
+/// that has an older report of it.
 #[test]
 fn older_report_of_a_new_era_does_not_revert_a_draining_target() {
     let mut catalog = catalog_of(&[report("a", 5)]);
@@ -186,7 +186,7 @@
     assert_eq!(usable_ids(&catalog), ["a"]);
 }
 
-/// Guards against a restarted target that is taken for the process before it, because the copy
+/// Guards against a restarted target that is taken for the process before it, because the snapshot
 /// has the report of that one.
 #[test]
 fn report_of_an_older_process_does_not_replace_a_restarted_target() {
@@ -202,24 +202,24 @@
     assert_eq!(catalog.get("a").map(|target| target.started_at_ms), Some(2));
 }
 
-/// Guards against requests to a target that has left, because the copy still has its row.
+/// Guards against requests to a target that has left, because the snapshot still has its row.
 #[test]
 fn target_that_had_left_stays_away_until_it_reports_again() {
     let mut catalog = catalog_of(&[report("a", 5)]);
     catalog.remove("a", old(9), None, NOW);
 
     catalog.upsert(report("a", 5), new(3), NOW);
-    let usable_from_copy = usable_ids(&catalog);
+    let usable_from_snapshot = usable_ids(&catalog);
     catalog.upsert(report("a", 6), new(4), NOW);
 
-    assert_eq!(usable_from_copy, Vec::<String>::new());
+    assert_eq!(usable_from_snapshot, Vec::<String>::new());
     assert_eq!(usable_ids(&catalog), ["a"]);
 }
 
-/// Guards against requests to a target that has left, because the copy counts more of its reports
-/// than this VM was told of.
+/// Guards against requests to a target that has left, because the snapshot counts more of its
+/// reports than this VM was told of.
 #[test]
-fn target_that_had_left_stays_away_whatever_number_its_report_in_the_copy_has() {
+fn target_that_had_left_stays_away_whatever_number_its_report_in_the_snapshot_has() {
     let mut catalog = catalog_of(&[report("a", 1)]);
     catalog.remove("a", old(9), None, NOW);
 
@@ -228,10 +228,10 @@
     assert_eq!(usable_ids(&catalog), Vec::<String>::new());
 }
 
-/// Guards against a target that is dropped after a second return, whose copy has it, because the
-/// copy of the first one did not.
+/// Guards against a target that is dropped after a second restore, whose snapshot has it, because
+/// the snapshot of the first one did not.
 #[test]
-fn target_missing_from_one_copy_and_present_in_the_next_is_kept() {
+fn target_missing_from_one_snapshot_and_present_in_the_next_is_kept() {
     let mut catalog = catalog_of(&[report("a", 5)]);
 
     catalog.remove("a", new(3), Some(SETTLED_AT), NOW);
@@ -241,7 +241,7 @@
     assert_eq!(usable_ids(&catalog), ["a"]);
 }
 
-/// Guards against an evacuation that ends because the copy does not have it yet.
+/// Guards against an evacuation that ends because the snapshot does not have it yet.
 #[test]
 fn evacuation_lost_by_the_store_holds_until_it_is_written_again_or_the_wait_is_over() {
     let mut catalog = catalog_of(&[target("a")]);
@@ -272,10 +272,10 @@
     assert!(!catalog.is_evacuated("z1"));
 }
 
-/// Guards against an evacuation that the copy brings back, although the operator had ended it;
+/// Guards against an evacuation that the snapshot brings back, although the operator had ended it;
 /// and against a new one that is not obeyed.
 #[test]
-fn ended_evacuation_in_the_copy_starts_only_if_it_is_not_ended_again() {
+fn ended_evacuation_in_the_snapshot_starts_only_if_it_is_not_ended_again() {
     let mut catalog = catalog_of(&[target("a")]);
     catalog.set_evacuation("z1", true, old(8), NOW);
     catalog.set_evacuation("z1", false, old(9), NOW);
--- a/crates/catalog/tests/era.rs
+++ b/crates/catalog/tests/era.rs
@@ -1,4 +1,4 @@
-//! When the store counts as come back from an older copy.
+//! When the store counts as restored from an older snapshot.
 
 use {
     catalog::{EraChange, EraTracker, NamedEra},
@@ -70,7 +70,7 @@
     }
 }
 
-/// Guards against a store without eras that came back from a copy.
+/// Guards against a store without eras that was restored from a snapshot.
 #[test]
 fn version_that_goes_back_without_a_new_era_is_assumed_to_begin_one() {
     let mut tracker = EraTracker::default();
--- a/crates/catalog/tests/records.rs
+++ b/crates/catalog/tests/records.rs
@@ -123,7 +123,7 @@
 }
 
 /// Guards against a row that is taken for an old one, because the store gave its version out
-/// before it came back from an older copy.
+/// before it was restored from an older snapshot.
 #[test]
 fn row_of_a_new_era_is_applied_whatever_its_version() {
     let mut replica = replica_of(&[record("a", 140, Some("x"))], 140);
@@ -157,7 +157,7 @@
     assert_eq!(replica.complete_revision(&tables()), None);
 }
 
-/// Guards against a target that is kept for ever, because the copy does not have it.
+/// Guards against a target that is kept for ever, because the snapshot does not have it.
 #[test]
 fn row_of_an_older_era_that_is_missing_from_the_full_read_is_inferred_as_deleted() {
     let mut replica = replica_of(
@@ -207,13 +207,13 @@
     assert_eq!(deletions, [record("a", 7, None)]);
 }
 
-/// A store whose history forks: it may come back from any of its earlier states.
+/// A store whose history forks: it may be restored to any of its earlier states.
 #[derive(Debug, Clone, Default)]
 struct ForkingStore {
     era: u64,
     version: u64,
     rows: BTreeMap<String, Record>,
-    copies: Vec<(u64, BTreeMap<String, Record>)>,
+    snapshots: Vec<(u64, BTreeMap<String, Record>)>,
 }
 
 /// What happens to the store or to a VM that follows it.
@@ -221,8 +221,8 @@
 enum Step {
     Write(u8),
     Delete(u8),
-    /// Comes back from the copy of this index, counted from the newest.
-    Return(usize),
+    /// Is restored from the snapshot of this index, counted from the newest.
+    Restore(usize),
     /// The first VM reads the store in full.
     Read,
     /// The first VM reads the changes.
@@ -235,18 +235,18 @@
 
 impl ForkingStore {
     fn write(&mut self, key: u8, value: Option<&str>) {
-        self.copies.push((self.version, self.rows.clone()));
+        self.snapshots.push((self.version, self.rows.clone()));
         self.version += 1;
         let row = record_of_era(self.era, &key.to_string(), self.version, value);
         self.rows.insert(row.key.clone(), row);
     }
 
-    fn return_from(&mut self, index: usize) {
-        let Some(copy) = self.copies.iter().rev().nth(index).cloned() else {
+    fn restore_from(&mut self, index: usize) {
+        let Some(snapshot) = self.snapshots.iter().rev().nth(index).cloned() else {
             return;
         };
         self.era += 1;
-        (self.version, self.rows) = copy;
+        (self.version, self.rows) = snapshot;
         for row in self.rows.values_mut() {
             row.revision = Revision::new(self.era, row.revision.version());
         }
@@ -317,7 +317,7 @@
     prop_oneof![
         4 => (0..4_u8).prop_map(Step::Write),
         2 => (0..4_u8).prop_map(Step::Delete),
-        2 => (0..6_usize).prop_map(Step::Return),
+        2 => (0..6_usize).prop_map(Step::Restore),
         1 => Just(Step::Read),
         3 => Just(Step::Watch),
         3 => Just(Step::Pull),
@@ -337,7 +337,7 @@
             match step {
                 Step::Write(key) => store.write(key, Some("x")),
                 Step::Delete(key) => store.write(key, None),
-                Step::Return(index) => store.return_from(index),
+                Step::Restore(index) => store.restore_from(index),
                 Step::Read => store.read_into(&mut first),
                 Step::Watch => store.watch_into(&mut first),
                 Step::Pull => {
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -23,7 +23,7 @@
 
     /// Returns the newer of the stored document and the one in force.
     ///
-    /// The stored one is older if the table service has come back from an older copy. A change must
+    /// The stored one is older if the table service was restored from an older snapshot. A change must
     /// then be based on the one in force, as VMs apply no version below it.
     #[must_use]
     pub fn newer_of(&self, stored: Document) -> Document {
--- a/crates/gateway/src/node/eras.rs
+++ b/crates/gateway/src/node/eras.rs
@@ -1,4 +1,4 @@
-//! Follows the eras of the store, each of which begins when it comes back from an older copy.
+//! Follows the eras of the store, each of which begins with a restore from an older snapshot.
 //!
 //! See `docs/PLATFORM.md`, section "Eras of the store".
 
@@ -11,7 +11,7 @@
     }
 
     /// Returns the changes that the store reported since a revision of the known era, or `None` if
-    /// the store may have come back from a copy, so that they need not be all.
+    /// the store may have been restored from a snapshot, so that they need not be all.
     pub(crate) fn accept_changes(
         &self,
         changes: VersionedRows,
@@ -40,7 +40,7 @@
             EraChange::None => return read.in_era(era),
             EraChange::Begun(begun) => begun,
             EraChange::Assumed(begun) => {
-                log::warn!(event = "era_went_back", named:? = read.era, known = era, version = version; "store names an older era than before or none that can be read, or its version went back; it counts as come back from a copy");
+                log::warn!(event = "era_went_back", named:? = read.era, known = era, version = version; "store names an older era than before or none that can be read, or its version went back; it counts as restored from a snapshot");
                 metrics::counter!("cicadalift_eras_gone_back_total").increment(1);
                 begun
             }
@@ -71,6 +71,6 @@
         self.member_view().set_control_revision(start);
         self.unsettle_store();
         self.era_changes.send_modify(|count| *count += 1);
-        log::warn!(event = "era_changed", from = previous, to = era, learned_from = learned_from; "store came back from an older copy; all tables are read again");
+        log::warn!(event = "era_changed", from = previous, to = era, learned_from = learned_from; "store was restored from an older snapshot; all tables are read again");
     }
 }
--- a/crates/gateway/src/store/registration.rs
+++ b/crates/gateway/src/store/registration.rs
@@ -8,7 +8,7 @@
 
 /// Delay before a failed registration is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(400);
-/// Longest delay before this VM registers again after the store came back from a copy.
+/// Longest delay before this VM registers again after the store was restored from a snapshot.
 const MAX_RESTORE_DELAY: Duration = Duration::from_secs(2);
 /// Interval at which registrations are listed while no other VM is alive or suspect, or while the
 /// last listing failed.
@@ -16,8 +16,8 @@
 /// Interval at which registrations are listed otherwise.
 const LIST_INTERVAL: Duration = Duration::from_mins(1);
 
-/// Registers this VM, then lists the registrations periodically, and soon after the store came
-/// back from a copy, until the process ends.
+/// Registers this VM, then lists the registrations periodically, and soon after the store was
+/// restored from a snapshot, until the process ends.
 pub(crate) async fn maintain_registration(node: Rc<Node>) {
     let mut eras = node.subscribe_eras();
     while let Err(error) = register_vm(&node).await {
@@ -74,9 +74,9 @@
     Ok(())
 }
 
-/// Registers this VM again if its row is gone: the store may have come back from a copy, or an
-/// earlier incarnation may have unregistered without receiving the response, and the removal may
-/// have taken effect late.
+/// Registers this VM again if its row is gone: the store may have been restored from a snapshot,
+/// or an earlier incarnation may have unregistered without receiving the response, and the removal
+/// may have taken effect late.
 async fn restore_registration(
     node: &Rc<Node>,
     registrations: &[Registration],
--- a/crates/gateway/src/store/source.rs
+++ b/crates/gateway/src/store/source.rs
@@ -30,9 +30,9 @@
         };
         let after = node.complete_revision();
         let failure = match fetch_batch(&node, &source, after, MAX_WAIT, CALL_MARGIN).await {
-            Ok(batch) if batch.revision.era() < node.replica().era() => {
-                Some("source has not noticed that the store came back from a copy".to_owned())
-            }
+            Ok(batch) if batch.revision.era() < node.replica().era() => Some(
+                "source has not noticed that the store was restored from a snapshot".to_owned(),
+            ),
             Ok(batch) => {
                 if batch.well {
                     node.record_source_success();
--- a/crates/gateway/src/store/watch.rs
+++ b/crates/gateway/src/store/watch.rs
@@ -20,7 +20,7 @@
 
 /// Watches a table until the process ends, whenever this VM is one of those that watch the
 /// store. The table is first read in full, and again if the store does not have its changes since
-/// the known revision, or comes back from an older copy.
+/// the known revision, or is restored from an older snapshot.
 pub(crate) async fn watch_table(node: Rc<Node>, table: String) {
     let mut retry_delay = MIN_RETRY_DELAY;
     let mut needs_full_read = false;
--- a/crates/model/src/eras.rs
+++ b/crates/model/src/eras.rs
@@ -1,4 +1,4 @@
-//! Model of a store that comes back from an older copy, and of VMs that replicate its rows.
+//! Model of a store that is restored from an older snapshot, and of VMs that replicate its rows.
 
 use {
     catalog::{EraChange, EraTracker, NamedEra, RecordReplica},
@@ -18,10 +18,10 @@
 pub struct Bounds {
     /// Maximum number of writes and deletions together.
     pub writes: u8,
-    /// Maximum number of copies of the store, beside the one that it starts with.
-    pub copies: u8,
-    /// Maximum number of times that the store comes back from its copy.
-    pub returns: u8,
+    /// Maximum number of snapshots of the store, beside the one that it starts with.
+    pub snapshots: u8,
+    /// Maximum number of times that the store is restored from its snapshot.
+    pub restores: u8,
     /// Maximum number of restarts of VMs; a restart loses all rows.
     pub restarts: u8,
 }
@@ -39,13 +39,13 @@
     PartialBatches,
 }
 
-/// The store, with the copy from which it may come back.
+/// The store, with the snapshot from which it may be restored.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
 struct Store {
     era: u64,
     version: u64,
     rows: BTreeMap<u8, Record>,
-    copy: (u64, BTreeMap<u8, Record>),
+    snapshot: (u64, BTreeMap<u8, Record>),
 }
 
 /// What a VM asked of the store.
@@ -105,13 +105,13 @@
 }
 
 impl State {
-    /// Returns the initial state: a store with one row and a copy of it, and two VMs that know
+    /// Returns the initial state: a store with one row and a snapshot of it, and two VMs that know
     /// nothing.
     #[must_use]
     pub fn new(variant: Variant, bounds: Bounds) -> Self {
         let mut store = Store::default();
         store.write(0, Some("first".to_owned()));
-        store.copy = (store.version, store.rows.clone());
+        store.snapshot = (store.version, store.rows.clone());
         Self {
             variant,
             remaining: bounds,
@@ -165,17 +165,17 @@
                 }
             }
         }
-        if self.remaining.copies > 0 {
-            let mut copied = self.clone();
-            copied.remaining.copies -= 1;
-            copied.store.copy = (self.store.version, self.store.rows.clone());
-            successors.push(copied);
+        if self.remaining.snapshots > 0 {
+            let mut taken = self.clone();
+            taken.remaining.snapshots -= 1;
+            taken.store.snapshot = (self.store.version, self.store.rows.clone());
+            successors.push(taken);
         }
-        if self.remaining.returns > 0 {
-            let mut returned = self.clone();
-            returned.remaining.returns -= 1;
-            returned.store.return_from_copy();
-            successors.push(returned);
+        if self.remaining.restores > 0 {
+            let mut restored = self.clone();
+            restored.remaining.restores -= 1;
+            restored.store.restore_snapshot();
+            successors.push(restored);
         }
     }
 
@@ -291,9 +291,9 @@
         self.rows.insert(key, row);
     }
 
-    fn return_from_copy(&mut self) {
+    fn restore_snapshot(&mut self) {
         self.era += 1;
-        (self.version, self.rows) = self.copy.clone();
+        (self.version, self.rows) = self.snapshot.clone();
         for row in self.rows.values_mut() {
             row.revision = Revision::new(self.era, row.revision.version());
         }
--- a/crates/model/tests/eras.rs
+++ b/crates/model/tests/eras.rs
@@ -1,12 +1,12 @@
-//! Checks in every order of events within the bounds that no VM stays behind a store that comes
-//! back from an older copy, and that each weakened variant is detected.
+//! Checks in every order of events within the bounds that no VM stays behind a store that is
+//! restored from an older snapshot, and that each weakened variant is detected.
 
 use model::{CheckResult, EraBounds, EraState, EraVariant, check_invariant};
 
 const BOUNDS: EraBounds = EraBounds {
     writes: 2,
-    copies: 0,
-    returns: 1,
+    snapshots: 0,
+    restores: 1,
     restarts: 0,
 };
 
@@ -30,7 +30,7 @@
 }
 
 #[test]
-fn no_vm_stays_behind_after_returns() {
+fn no_vm_stays_behind_after_restores() {
     let states = count_states(BOUNDS);
 
     println!("states: {states}");
@@ -38,10 +38,10 @@
 }
 
 #[test]
-fn no_vm_stays_behind_after_two_returns() {
+fn no_vm_stays_behind_after_two_restores() {
     let bounds = EraBounds {
         writes: 1,
-        returns: 2,
+        restores: 2,
         ..BOUNDS
     };
 
@@ -52,7 +52,7 @@
 }
 
 #[test]
-fn no_vm_stays_behind_after_a_return_and_a_restart() {
+fn no_vm_stays_behind_after_a_restore_and_a_restart() {
     let bounds = EraBounds {
         writes: 1,
         restarts: 1,
--- a/crates/rig/src/control.rs
+++ b/crates/rig/src/control.rs
@@ -25,23 +25,23 @@
         self.admin.post_json(&url, fault).await.map(drop)
     }
 
-    /// Makes the platform keep a copy of its rows.
+    /// Makes the platform keep a snapshot of its rows.
     ///
     /// # Errors
     /// [`RigError::InvalidResponse`] if the stand-in does not confirm it.
-    pub async fn copy_platform(&self) -> Result<(), RigError> {
+    pub async fn snapshot_platform(&self) -> Result<(), RigError> {
         let address = self.addresses.stand_in(PLATFORM_INDEX);
-        let url = format!("http://{address}/control/copy");
+        let url = format!("http://{address}/control/snapshot");
         self.admin.post_json(&url, &()).await.map(drop)
     }
 
-    /// Makes the platform come back from its copy.
+    /// Restores the platform from its snapshot.
     ///
     /// # Errors
     /// [`RigError::InvalidResponse`] if the stand-in does not confirm it.
-    pub async fn return_platform(&self) -> Result<(), RigError> {
+    pub async fn restore_platform(&self) -> Result<(), RigError> {
         let address = self.addresses.stand_in(PLATFORM_INDEX);
-        let url = format!("http://{address}/control/return");
+        let url = format!("http://{address}/control/restore");
         self.admin.post_json(&url, &()).await.map(drop)
     }
 
--- a/crates/rig/tests/control.rs
+++ b/crates/rig/tests/control.rs
@@ -383,17 +383,17 @@
     assert_eq!(audit.answered, audit.sent, "{audit:?}");
 }
 
-/// Guards against an accepted change that no VM puts in force, because the table service came back
-/// from an older copy and the change got a version that had been given out before.
+/// Guards against an accepted change that no VM puts in force, because the table service was
+/// restored from an older snapshot and the change got a version that had been given out before.
 #[actix_rt::test]
-async fn change_after_the_table_service_came_back_from_a_copy_is_in_force_everywhere() {
+async fn change_after_the_table_service_was_restored_from_a_snapshot_is_in_force_everywhere() {
     let rig = Rig::start(Options::default()).await.unwrap();
-    rig.copy_platform().await.unwrap();
+    rig.snapshot_platform().await.unwrap();
     let vm = &rig.vm_specs[0];
     let preset = rig.admin.propose_change(vm, switch_preset("peak", 1)).await;
     wait_for_version(&rig, preset.unwrap().document.version, TIMEOUT).await;
 
-    rig.return_platform().await.unwrap();
+    rig.restore_platform().await.unwrap();
     let vm = &rig.vm_specs[1];
     let mark = mark_leaving(Kind::Zone, "cebu-a");
     let decision = rig.admin.propose_change(vm, mark).await.unwrap();
--- a/crates/stand/src/platform/server.rs
+++ b/crates/stand/src/platform/server.rs
@@ -42,8 +42,8 @@
             .route("/vms", web::get().to(vms))
             .route("/vms", web::post().to(set_vms))
             .route("/control/fault", web::post().to(set_fault))
-            .route("/control/copy", web::post().to(take_copy))
-            .route("/control/return", web::post().to(return_from_copy))
+            .route("/control/snapshot", web::post().to(take_snapshot))
+            .route("/control/restore", web::post().to(restore_snapshot))
             .route("/control/stats", web::get().to(stats))
             .route("/control/rows", web::get().to(rows))
     })
@@ -159,13 +159,13 @@
     HttpResponse::Ok().finish()
 }
 
-async fn take_copy(store: Shared) -> HttpResponse {
-    lock(&store).take_copy();
+async fn take_snapshot(store: Shared) -> HttpResponse {
+    lock(&store).take_snapshot();
     HttpResponse::Ok().finish()
 }
 
-async fn return_from_copy(store: Shared) -> HttpResponse {
-    lock(&store).return_from_copy();
+async fn restore_snapshot(store: Shared) -> HttpResponse {
+    lock(&store).restore_snapshot();
     HttpResponse::Ok().finish()
 }
 
--- a/crates/stand/src/platform/store.rs
+++ b/crates/stand/src/platform/store.rs
@@ -52,19 +52,19 @@
     pub(crate) fault: FaultConfig,
     pub(crate) stats: Stats,
     last_version: u64,
-    /// Rows and last version at the time of the copy.
-    copy: (BTreeMap<String, Row>, u64),
+    /// Rows and last version at the time of the snapshot.
+    snapshot: (BTreeMap<String, Row>, u64),
 }
 
 impl Store {
-    /// Keeps a copy of the rows, from which the store may come back.
-    pub(crate) fn take_copy(&mut self) {
-        self.copy = (self.rows.clone(), self.last_version);
+    /// Keeps a snapshot of the rows, from which the store may be restored.
+    pub(crate) fn take_snapshot(&mut self) {
+        self.snapshot = (self.rows.clone(), self.last_version);
     }
 
-    /// Replaces the rows by those of the copy. Versions are given out again.
-    pub(crate) fn return_from_copy(&mut self) {
-        (self.rows, self.last_version) = self.copy.clone();
+    /// Replaces the rows by those of the snapshot. Versions are given out again.
+    pub(crate) fn restore_snapshot(&mut self) {
+        (self.rows, self.last_version) = self.snapshot.clone();
     }
 
     pub(crate) fn commit(&mut self, ops: Vec<Op>) -> Vec<OpResult> {
--- a/crates/wire/src/revision.rs
+++ b/crates/wire/src/revision.rs
@@ -7,7 +7,7 @@
 
 /// A version together with the era of the source that assigned it.
 ///
-/// A source that comes back from an older copy assigns versions a second time. It then begins a
+/// A source that is restored from an older snapshot assigns versions a second time. It then begins a
 /// new era, so that no version of an older era is taken for one of a newer: a revision of a newer
 /// era is the greater one, whatever the versions are.
 #[derive(
