--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! A small model of callers, VMs, the table service and upstreams drives the state
 //! machines of the product ([`once::Attempt`], [`control::Proposer`],
-//! [`control::Replica`], [`catalog::RecordReplica`], [`catalog::EraTracker`]) through every order of events within given bounds.
+//! [`control::Replica`], [`catalog::RecordReplica`], [`catalog::EraTracker`]) through every
+//! order of events within given bounds.
 //! Each invariant is also checked on weakened variants of the protocol, where the search must
 //! find a violation. See `docs/PROOFS.md`.
 
