Read a target's stated rate limit, and say in log, metrics and dump what is in force

What targets state about themselves in a response is now decoded at one place of the adapter, the load report with it, and handed to the balancer, which keeps what is in force. It also comes back from the VM that owns the target's queue where that target turned the request away. Nothing decides on it yet.

A value that cannot be read (empty, text, negative, NaN, infinite) changes nothing, is counted, and gives at most one line a second for each target; of several values the strictest counts.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -4,7 +4,7 @@
     crate::{
         Affinity, Candidate, Decision, Dispatch, EligibleTarget, LoadReport, PendingRequest,
         PriorityReserve, RecentObjects, RunningTimes, Selection, SelectionPolicy, SlowStart,
-        TargetStats, Timing, WaitQueues, select_candidate,
+        Statements, TargetStats, Timing, WaitQueues, select_candidate,
     },
     std::time::Duration,
     wire::Map,
@@ -17,6 +17,8 @@
     pub policy: SelectionPolicy,
     /// Rate limits for cold targets.
     pub slow_start: SlowStart,
+    /// What targets state about themselves.
+    pub statements: Statements,
     /// Requests that wait at this VM, by target.
     pub queues: WaitQueues,
     /// Slots kept free for the most urgent requests of each service.
@@ -223,10 +225,11 @@
         stats.is_some_and(|stats| stats.health.is_ejected(now))
     }
 
-    /// Discards the statistics and cached objects of a target that has restarted. Requests of
+    /// Discards the statistics, statements and cached objects of a target that has restarted. Requests of
     /// this VM that are still in flight there remain counted.
     pub fn reset_target(&mut self, target: &str) {
         self.recent_objects.clear_target(target);
+        self.statements.clear(target);
         if let Some(stats) = self.target_stats.get_mut(target) {
             let own_in_flight = stats.own_in_flight;
             *stats = TargetStats::default();
@@ -239,6 +242,7 @@
     pub fn retain_targets(&mut self, is_known: impl Fn(&str) -> bool) {
         self.recent_objects.retain_targets(&is_known);
         self.slow_start.retain_targets(&is_known);
+        self.statements.retain_targets(&is_known);
         self.target_stats
             .retain(|id, stats| stats.own_in_flight > 0 || is_known(id));
     }
--- /dev/null
+++ b/crates/balance/src/feedback/mod.rs
@@ -0,0 +1,8 @@
+//! What targets state about themselves in the heads of their responses, and which of it is in
+//! force. See `docs/PLATFORM.md`, section "What targets state about themselves".
+
+mod report;
+mod statements;
+
+pub use report::{Feedback, Field};
+pub use statements::{Change, RateLimit, Source, Statements};
--- /dev/null
+++ b/crates/balance/src/feedback/report.rs
@@ -0,0 +1,24 @@
+//! The statements of one response.
+
+use crate::LoadReport;
+
+/// A statement that a response may make.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Field<T> {
+    /// The response does not make it.
+    #[default]
+    Absent,
+    /// The response makes it, but the value cannot be read.
+    Unreadable,
+    /// The response makes it.
+    Stated(T),
+}
+
+/// What a target states about itself in the head of one response.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Feedback {
+    /// Requests at the target.
+    pub load: Option<LoadReport>,
+    /// Requests per second that the target accepts from all VMs together; finite and not negative.
+    pub rate_limit: Field<f64>,
+}
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod balancer;
 mod candidates;
+mod feedback;
 mod preselection;
 mod priority_reserve;
 mod recent_objects;
@@ -20,6 +21,7 @@
 mod wait_queues;
 
 pub use balancer::Balancer;
+pub use feedback::{Change, Feedback, Field, RateLimit, Source, Statements};
 pub use preselection::{Preselection, Side, preselect_targets};
 pub use priority_reserve::PriorityReserve;
 pub use recent_objects::RecentObjects;
--- a/crates/gateway/src/frontend/attempt.rs
+++ b/crates/gateway/src/frontend/attempt.rs
@@ -9,7 +9,7 @@
         },
         node::{QueueOwner, RequestContext, Reservation},
     },
-    balance::Affinity,
+    balance::{Affinity, Dispatch},
     std::{net::SocketAddr, rc::Rc, time::Duration},
 };
 
@@ -91,19 +91,20 @@
     let now = node.now();
     let dispatch = &reservation.dispatch;
     log_exchange(context, reservation, outcome, now);
+    record_statements(node, context, dispatch, outcome);
     match outcome {
         Outcome::Answered(response) => {
             let mut balancer = node.balancer.borrow_mut();
-            balancer.record_relayed_response(dispatch, response.load_report, running_time, now);
+            balancer.record_relayed_response(dispatch, response.feedback.load, running_time, now);
             node.quarantine.borrow_mut().record_success(fingerprint);
         }
         Outcome::NotExecuted {
             reason: NotExecutedReason::Unreachable,
             ..
         } => record_failure(node, context, reservation, now),
-        Outcome::NotExecuted { load_report, .. } => {
+        Outcome::NotExecuted { feedback, .. } => {
             let mut balancer = node.balancer.borrow_mut();
-            balancer.record_rejection(&dispatch.target, *load_report, now);
+            balancer.record_rejection(&dispatch.target, feedback.and_then(|f| f.load), now);
         }
         Outcome::Indeterminate(fault) => {
             let mut balancer = node.balancer.borrow_mut();
@@ -116,6 +117,18 @@
     }
 }
 
+/// Takes over what the target stated in its response, if it sent one.
+fn record_statements(
+    node: &Rc<Node>,
+    context: &RequestContext,
+    dispatch: &Dispatch,
+    outcome: &Outcome,
+) {
+    if let Some(feedback) = outcome.feedback() {
+        node.record_statements(&dispatch.target, &feedback, dispatch.sent_at, &context.id);
+    }
+}
+
 fn log_exchange(
     context: &RequestContext,
     reservation: &Reservation,
@@ -206,21 +219,23 @@
     let now = node.now();
     let dispatch = &reservation.dispatch;
     log_exchange(context, reservation, outcome, now);
+    record_statements(node, context, dispatch, outcome);
     match outcome {
         Outcome::Answered(response) => {
             node.balancer
                 .borrow_mut()
-                .record_response(dispatch, response.load_report, now);
+                .record_response(dispatch, response.feedback.load, now);
             node.quarantine.borrow_mut().record_success(fingerprint);
         }
         Outcome::NotExecuted {
             reason: NotExecutedReason::Shed,
-            load_report,
+            feedback,
             ..
         } => {
+            let report = feedback.and_then(|feedback| feedback.load);
             node.balancer
                 .borrow_mut()
-                .record_rejection(&dispatch.target, *load_report, now);
+                .record_rejection(&dispatch.target, report, now);
         }
         Outcome::NotExecuted {
             reason: NotExecutedReason::Unsent,
--- a/crates/gateway/src/frontend/relayed.rs
+++ b/crates/gateway/src/frontend/relayed.rs
@@ -20,6 +20,7 @@
         },
         node::{Assignment, RequestContext, duration_ms},
     },
+    balance::{Feedback, LoadReport},
     hyper::{
         HeaderMap, Request, StatusCode,
         body::Incoming,
@@ -147,8 +148,12 @@
     // Dropped first, so that the load report no longer counts this request.
     drop(reservation);
     let running_time = node.now().saturating_sub(dispatch.sent_at);
+    let feedback = Feedback {
+        load: load_report(node, &dispatch.target),
+        ..outcome.rejection_feedback().unwrap_or_default()
+    };
     let mut response = outcome_response(outcome);
-    set_load_report(node, &dispatch.target, response.headers_mut());
+    (node.header_names.feedback.encode)(&feedback, response.headers_mut());
     set_number(
         response.headers_mut(),
         &RUNNING_TIME_MS_HEADER,
@@ -175,18 +180,13 @@
     with_outcome(response, outcome_text)
 }
 
-/// Replaces the target's load report with one that includes the requests queued at this VM.
-fn set_load_report(node: &Node, target: &str, headers: &mut HeaderMap) {
+/// Returns the load of a target with the requests that are queued for it at this VM, or `None` for
+/// an unknown target.
+fn load_report(node: &Node, target: &str) -> Option<LoadReport> {
     let catalog = node.catalog.borrow();
-    let Some(target) = catalog.get(target) else {
-        return;
-    };
+    let target = catalog.get(target)?;
     let balancer = node.balancer.borrow();
-    let load = balancer.load_report(&target.id, target.slots, node.now());
-    let text = format!("{},{},{}", load.running, load.waiting, load.slots);
-    if let Ok(value) = HeaderValue::from_str(&text) {
-        headers.insert(node.header_names.load_report.clone(), value);
-    }
+    Some(balancer.load_report(&target.id, target.slots, node.now()))
 }
 
 fn with_outcome(mut response: HttpResponse, outcome: &'static str) -> HttpResponse {
--- a/crates/gateway/src/header_names.rs
+++ b/crates/gateway/src/header_names.rs
@@ -1,6 +1,9 @@
-//! Names of the headers that callers and targets use.
+//! Names and formats of the headers that callers and targets use.
 
-use hyper::header::HeaderName;
+use {
+    balance::Feedback,
+    hyper::{HeaderMap, header::HeaderName},
+};
 
 /// Names of the headers that the gateway reads or writes, as defined by the adapter.
 #[derive(Debug, Clone)]
@@ -15,8 +18,18 @@
     pub expect_target: HeaderName,
     /// Set by a target that did not execute the request.
     pub not_executed: HeaderName,
-    /// Load report of a target: running requests, waiting requests and slots, separated by commas.
-    pub load_report: HeaderName,
+    /// Reads and writes the headers in which targets state something about themselves.
+    pub feedback: FeedbackFormat,
     /// Name of the cookie that identifies the object of a request.
     pub object_cookie: String,
 }
+
+/// Format of the headers in which targets state something about themselves.
+#[derive(Debug, Clone, Copy)]
+pub struct FeedbackFormat {
+    /// Reads the statements of a response.
+    pub decode: fn(&HeaderMap) -> Feedback,
+    /// Writes statements into the headers of a response; those that are absent are left as they
+    /// are.
+    pub encode: fn(&Feedback, &mut HeaderMap),
+}
--- a/crates/gateway/src/http_client/outcome.rs
+++ b/crates/gateway/src/http_client/outcome.rs
@@ -2,7 +2,7 @@
 
 use {
     super::ResponseBody,
-    balance::LoadReport,
+    balance::Feedback,
     hyper::{HeaderMap, StatusCode},
     std::fmt,
 };
@@ -14,7 +14,7 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: ResponseBody,
-    pub(crate) load_report: Option<LoadReport>,
+    pub(crate) feedback: Feedback,
 }
 
 /// Why it is certain that the target did not run the request.
@@ -58,7 +58,8 @@
     /// The target did not run the request, so that any request may be retried.
     NotExecuted {
         reason: NotExecutedReason,
-        load_report: Option<LoadReport>,
+        /// What the target stated, if it responded.
+        feedback: Option<Feedback>,
     },
     /// The request was sent but no valid response came; the target may have run it.
     Indeterminate(ResponseFault),
@@ -71,7 +72,23 @@
     pub(crate) fn unreachable() -> Self {
         Self::NotExecuted {
             reason: NotExecutedReason::Unreachable,
-            load_report: None,
+            feedback: None,
+        }
+    }
+
+    /// Returns what the target stated about itself, if it responded.
+    pub(crate) fn feedback(&self) -> Option<Feedback> {
+        match self {
+            Self::Answered(response) => Some(response.feedback),
+            _ => self.rejection_feedback(),
+        }
+    }
+
+    /// Returns what the target stated when it rejected the request.
+    pub(crate) fn rejection_feedback(&self) -> Option<Feedback> {
+        match self {
+            Self::NotExecuted { feedback, .. } => *feedback,
+            _ => None,
         }
     }
 
--- a/crates/gateway/src/http_client/relay.rs
+++ b/crates/gateway/src/http_client/relay.rs
@@ -4,7 +4,7 @@
     super::{
         Attempt, Client, NotExecutedReason, Outcome, ResponseFault, TargetRequest,
         outcome::{ANSWERED, TIMED_OUT},
-        send::{RawResponse, build_request_with_deadline, classify_response, parse_load_report},
+        send::{RawResponse, build_request_with_deadline, classify_response},
     },
     crate::HeaderNames,
     hyper::{
@@ -121,10 +121,9 @@
         text => match NotExecutedReason::parse(text) {
             Some(reason) => Outcome::NotExecuted {
                 reason,
-                load_report: raw
-                    .headers
-                    .get(&header_names.load_report)
-                    .and_then(parse_load_report),
+                feedback: reason
+                    .is_rejection()
+                    .then(|| (header_names.feedback.decode)(&raw.headers)),
             },
             None => Outcome::Indeterminate(
                 ResponseFault::parse(text).unwrap_or(ResponseFault::RequestIdMismatch),
--- a/crates/gateway/src/http_client/send.rs
+++ b/crates/gateway/src/http_client/send.rs
@@ -6,7 +6,6 @@
         client::CheckIn, connection::Connection, response_body::is_streamed,
     },
     crate::HeaderNames,
-    balance::LoadReport,
     bytes::Bytes,
     http_body_util::Full,
     hyper::{
@@ -106,7 +105,7 @@
                     Some(_) => {
                         return Err(Outcome::NotExecuted {
                             reason: NotExecutedReason::Unsent,
-                            load_report: None,
+                            feedback: None,
                         });
                     }
                     None => return Err(Outcome::Indeterminate(ResponseFault::ConnectionLost)),
@@ -223,9 +222,7 @@
         body,
         ..
     } = raw;
-    let load_report = headers
-        .get(&header_names.load_report)
-        .and_then(parse_load_report);
+    let feedback = (header_names.feedback.decode)(&headers);
     let echoed_id = headers.get(&header_names.request_id);
     if echoed_id.is_some_and(|echoed_id| *echoed_id != request.request_id) {
         return Outcome::Indeterminate(ResponseFault::RequestIdMismatch);
@@ -239,7 +236,8 @@
             } else {
                 NotExecutedReason::Shed
             },
-            load_report,
+            // Another target may have sent a misdirected response.
+            feedback: (!is_misdirected).then_some(feedback),
         };
     }
     if echoed_id.is_none() {
@@ -252,25 +250,10 @@
         status,
         headers,
         body,
-        load_report,
+        feedback,
     }))
 }
 
-/// Parses a load header: running requests, waiting requests and slots, separated by commas.
-pub(super) fn parse_load_report(value: &HeaderValue) -> Option<LoadReport> {
-    let mut numbers = value
-        .to_str()
-        .ok()?
-        .split(',')
-        .map(|number| number.trim().parse());
-    let mut next = || numbers.next()?.ok();
-    Some(LoadReport {
-        running: next()?,
-        waiting: next()?,
-        slots: next()?,
-    })
-}
-
 /// Returns the idle timeout that the `Keep-Alive` header states, less the margin,
 /// or the default.
 fn parse_idle_timeout(headers: &HeaderMap) -> Duration {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,7 +21,7 @@
 pub use clock::Clock;
 pub use errors::{GatewayError, StoreError};
 pub use frontend::{HttpResponse, ServerConfig, serve_http};
-pub use header_names::HeaderNames;
+pub use header_names::{FeedbackFormat, HeaderNames};
 pub use http_client::{Client, Incomplete, ResponseBody};
 pub use launch::{Components, ReloadSettings, run};
 pub use logging::init as init_logging;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -71,6 +71,17 @@
             "target {} service {} zone {} {:?} cold {is_cold} ejected {is_ejected}",
             target.id, target.service, target.zone, target.state
         );
+        if let Some(limit) = balancer.statements.rate_limit(&target.id) {
+            let _ = writeln!(
+                out,
+                "target {} limited to {} requests/s for {:?}, stated {:?} ago, heard from {:?}",
+                target.id,
+                limit.requests_per_s,
+                now.saturating_sub(limit.since),
+                now.saturating_sub(limit.stated_at),
+                limit.source
+            );
+        }
     }
     out
 }
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -6,6 +6,7 @@
 mod request;
 mod selection;
 mod state;
+mod statements;
 mod vm_lookup;
 
 pub(crate) use queue_owners::{QueueOwner, QueueOwners};
