Keep a target's stated rate limit with one sender for all VMs

Cause: no VM read the header.

Only one VM sends to a limited target, the owner of its queue; the others relay to it or choose another target, also if it cannot be reached. A target without room does not count among an object's two; another region gets work only if this one has no room; a request that nothing admits is refused at once, with the true time. A limit of all VMs as a share for each was ruled out: 4.3 a second over 12 VMs is less than one each.

--- a/crates/balance/src/candidates.rs
+++ b/crates/balance/src/candidates.rs
@@ -57,20 +57,43 @@
         let prefers_remote = ranked
             .first()
             .is_some_and(|(_, first)| first.locality == Locality::OtherRegion);
-        let mut candidates = Vec::with_capacity(targets.len());
-        for (rank, (_, eligible)) in ranked.into_iter().enumerate() {
-            let is_remote = eligible.locality == Locality::OtherRegion;
-            // Only the preference order sends an object to another region; the current load
-            // does not.
-            if (prefers_remote || !is_remote) && candidates.len() < TARGETS_PER_OBJECT {
-                candidates.push(self.candidate(
-                    request,
-                    eligible,
-                    prefers_remote == is_remote,
-                    rank,
-                    now,
-                ));
+        let is_remote = |eligible: &EligibleTarget<'_>| eligible.locality == Locality::OtherRegion;
+        // The preference order sends an object to another region; the current load does not.
+        let is_preferred = |eligible: &EligibleTarget<'_>| prefers_remote || !is_remote(eligible);
+        let mut candidates =
+            self.ranked_candidates(request, &ranked, prefers_remote, is_preferred, now);
+        if !prefers_remote && candidates.iter().all(Candidate::is_rate_limited) {
+            let remote = self.ranked_candidates(request, &ranked, prefers_remote, is_remote, now);
+            candidates.extend(remote);
+        }
+        candidates
+    }
+
+    /// Returns the first targets of the preference order for which `is_included` holds, until as
+    /// many as an object may go to accept requests now. Targets whose rate limit leaves no room do
+    /// not count.
+    fn ranked_candidates<'a>(
+        &self,
+        request: &PendingRequest<'_>,
+        ranked: &[(f64, &EligibleTarget<'a>)],
+        prefers_remote: bool,
+        is_included: impl Fn(&EligibleTarget<'_>) -> bool,
+        now: Duration,
+    ) -> Vec<Candidate<'a>> {
+        let mut candidates = Vec::with_capacity(TARGETS_PER_OBJECT);
+        let mut accepting_count = 0;
+        for (rank, (_, eligible)) in ranked.iter().enumerate() {
+            if accepting_count == TARGETS_PER_OBJECT {
+                break;
+            }
+            if !is_included(eligible) {
+                continue;
             }
+            let is_remote = eligible.locality == Locality::OtherRegion;
+            let in_preferred_region = prefers_remote == is_remote;
+            let candidate = self.candidate(request, eligible, in_preferred_region, rank, now);
+            accepting_count += usize::from(!candidate.is_rate_limited());
+            candidates.push(candidate);
         }
         candidates
     }
@@ -126,6 +149,11 @@
         let is_first_choice = rank == 0 && in_preferred_region && !eligible.is_fallback;
         let queued = to_f64(self.queues.count_ahead(&target.id, request.queue_key));
         let affinity = self.affinity(request, &target.id, is_first_choice);
+        let limit_wait = if eligible.has_remote_queue {
+            self.statements.full_for(&target.id, now)
+        } else {
+            self.statements.time_until_room(&target.id, queued, now)
+        };
         let max_requests = if eligible.has_remote_queue {
             f64::INFINITY
         } else if affinity == Affinity::Unknown {
@@ -137,6 +165,8 @@
             id: &target.id,
             limit: max_requests - reserved,
             slots,
+            limit_wait_s: limit_wait.as_secs_f64(),
+            has_remote_queue: eligible.has_remote_queue,
             requests_ahead: stats.map_or(0.0, |stats| stats.in_flight(now)) + queued,
             locality: eligible.locality,
             in_preferred_region,
--- a/crates/balance/src/feedback/mod.rs
+++ b/crates/balance/src/feedback/mod.rs
@@ -3,6 +3,7 @@
 
 mod report;
 mod statements;
+mod token_bucket;
 
 pub use report::{Feedback, Field};
 pub use statements::{Change, RateLimit, Source, Statements};
--- a/crates/balance/src/feedback/statements.rs
+++ b/crates/balance/src/feedback/statements.rs
@@ -1,9 +1,15 @@
 //! The statements of targets that are in force on this VM.
 
-use {super::Field, std::time::Duration, wire::Map};
+use {
+    super::{Feedback, Field, token_bucket::TokenBucket},
+    std::time::Duration,
+    wire::Map,
+};
 
 /// Changes of one target's statements within this time are reported once.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// A limit holds for this long after it was last stated, even if a response lacks it.
+const MIN_HOLD: Duration = Duration::from_secs(1);
 
 /// From whom this VM has a statement.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -42,6 +48,10 @@
 #[derive(Debug, Clone, Default)]
 struct Entry {
     rate_limit: Option<RateLimit>,
+    /// Paces what this VM sends to the target while it has a limit.
+    bucket: Option<TokenBucket>,
+    /// Until when the VM that sends to the target has no room for requests of this one.
+    full_until: Duration,
     reported_at: Option<Duration>,
 }
 
@@ -55,8 +65,9 @@
     /// Takes over what a response states about a rate limit. `sent_at` is when the request was
     /// sent. Returns the change, unless one of this target was returned shortly before.
     ///
-    /// A response without a limit ends the one in force only if the request was sent after that
-    /// was last stated: responses of different connections arrive in any order.
+    /// A response without a limit ends the one in force only if that was last stated
+    /// [`MIN_HOLD`] ago, and before the request was sent: responses of different connections arrive
+    /// in any order.
     pub fn record_rate_limit(
         &mut self,
         target: &str,
@@ -85,6 +96,49 @@
         self.by_target.get(target)?.rate_limit.as_ref()
     }
 
+    /// Returns what a VM that hears of this target from this one has to know.
+    #[must_use]
+    pub fn feedback(&self, target: &str) -> Feedback {
+        let limit = self.rate_limit(target);
+        Feedback {
+            rate_limit: limit.map_or(Field::Absent, |limit| Field::Stated(limit.requests_per_s)),
+            ..Feedback::default()
+        }
+    }
+
+    /// Returns the time until this VM may send a request to the target that `ahead` others
+    /// precede; zero for a target without a limit.
+    #[must_use]
+    pub fn time_until_room(&self, target: &str, ahead: f64, now: Duration) -> Duration {
+        let entry = self.by_target.get(target);
+        let bucket = entry.and_then(|entry| entry.bucket.as_ref());
+        bucket.map_or(Duration::ZERO, |bucket| bucket.time_until_room(ahead, now))
+    }
+
+    /// Counts a request that this VM sends to the target itself.
+    pub fn record_send(&mut self, target: &str, now: Duration) {
+        let entry = self.by_target.get_mut(target);
+        if let Some(bucket) = entry.and_then(|entry| entry.bucket.as_mut()) {
+            bucket.withdraw(now);
+        }
+    }
+
+    /// Records that the VM that sends to a limited target has no room before `until`.
+    pub fn record_full(&mut self, target: &str, until: Duration) {
+        let entry = self.by_target.get_mut(target);
+        if let Some(entry) = entry.filter(|entry| entry.rate_limit.is_some()) {
+            entry.full_until = until;
+        }
+    }
+
+    /// Returns the time until the VM that sends to a limited target is expected to have room; zero
+    /// if it is not known to have none.
+    #[must_use]
+    pub fn full_for(&self, target: &str, now: Duration) -> Duration {
+        let entry = self.by_target.get(target);
+        entry.map_or(Duration::ZERO, |entry| entry.full_until.saturating_sub(now))
+    }
+
     /// Returns the number of targets with a rate limit.
     #[must_use]
     pub fn limited_count(&self) -> u32 {
@@ -105,18 +159,29 @@
 }
 
 impl Entry {
+    fn end_limit(&mut self) {
+        self.rate_limit = None;
+        self.bucket = None;
+        self.full_until = Duration::ZERO;
+    }
+
     fn apply(&mut self, stated: Field<f64>, sent_at: Duration, now: Duration) -> Option<Change> {
         match stated {
             Field::Unreadable => Some(Change::Unreadable),
             Field::Absent => {
                 let known = self.rate_limit.as_ref()?;
-                if sent_at < known.stated_at {
+                let is_held = now.saturating_sub(known.stated_at) < MIN_HOLD;
+                if is_held || sent_at < known.stated_at {
                     return None;
                 }
-                self.rate_limit = None;
+                self.end_limit();
                 Some(Change::Unlimited)
             }
             Field::Stated(requests_per_s) => {
+                match &mut self.bucket {
+                    Some(bucket) => bucket.set_limit(requests_per_s, now),
+                    None => self.bucket = Some(TokenBucket::new(requests_per_s, now)),
+                }
                 let known = self.rate_limit.as_ref();
                 #[allow(clippy::float_cmp, reason = "both are parsed from a header")]
                 let is_unchanged = known.is_some_and(|k| k.requests_per_s == requests_per_s);
--- a/crates/balance/src/selection.rs
+++ b/crates/balance/src/selection.rs
@@ -65,6 +65,11 @@
     pub limit: f64,
     /// Requests that the target runs concurrently.
     pub slots: f64,
+    /// Time until the rate limit of the target leaves room for the request, in seconds; zero
+    /// without a limit.
+    pub limit_wait_s: f64,
+    /// Whether the target's queue is at another VM, so that the request cannot wait for it here.
+    pub has_remote_queue: bool,
     /// Requests in flight at the target, plus those that precede this one in its queue.
     pub requests_ahead: f64,
     /// Network locality of the target.
@@ -86,6 +91,13 @@
     pub failure_rate: f64,
 }
 
+impl Candidate<'_> {
+    /// Returns whether the target's rate limit leaves no room for the request now.
+    pub(crate) fn is_rate_limited(&self) -> bool {
+        self.limit_wait_s > 0.0
+    }
+}
+
 /// Expected and remaining times of a request, in seconds.
 #[derive(Debug, Clone, Copy)]
 pub struct Timing {
@@ -134,19 +146,22 @@
         by_cost.push((cost_s(timing, candidate, policy), index));
     }
     by_cost.sort_by(|a, b| a.0.total_cmp(&b.0));
-    let mut shortest_wait_s = timing.objective_s;
+    let mut shortest_wait_s: Option<f64> = None;
     for (_, index) in by_cost {
         let candidate = &candidates[index];
-        if candidate.requests_ahead < candidate.limit {
+        if candidate.requests_ahead < candidate.limit && !candidate.is_rate_limited() {
             return Selection::Send(index);
         }
         let expected_wait_s = wait_s(timing, candidate);
-        if expected_wait_s <= max_wait_s(timing, candidate, policy) {
+        let may_wait = !candidate.has_remote_queue;
+        if may_wait && expected_wait_s <= max_wait_s(timing, candidate, policy) {
             return Selection::Wait(index);
         }
-        shortest_wait_s = shortest_wait_s.min(expected_wait_s);
+        let slot_wait_s = slot_wait_s(timing, candidate).min(timing.objective_s);
+        let retry_s = slot_wait_s.max(candidate.limit_wait_s);
+        shortest_wait_s = Some(shortest_wait_s.map_or(retry_s, |shortest| shortest.min(retry_s)));
     }
-    let retry_after_s = shortest_wait_s.clamp(
+    let retry_after_s = shortest_wait_s.unwrap_or(timing.objective_s).clamp(
         policy.min_retry_after * timing.objective_s,
         MAX_RETRY_AFTER_S,
     );
@@ -168,6 +183,11 @@
 
 /// Returns the expected time until the candidate starts the request, in seconds.
 fn wait_s(timing: &Timing, candidate: &Candidate<'_>) -> f64 {
+    slot_wait_s(timing, candidate).max(candidate.limit_wait_s)
+}
+
+/// Returns the expected time until the candidate has a slot for the request, in seconds.
+fn slot_wait_s(timing: &Timing, candidate: &Candidate<'_>) -> f64 {
     let completions_needed = (candidate.requests_ahead - candidate.slots + 1.0).max(0.0);
     completions_needed / candidate.slots.max(1.0) * timing.cached_run_s * candidate.slowdown
 }
--- a/crates/balance/src/slow_start.rs
+++ b/crates/balance/src/slow_start.rs
@@ -1,11 +1,6 @@
 //! Limits the request rate to cold targets, summed over all VMs.
 
-use {
-    crate::rendezvous_weight,
-    std::{cmp::Reverse, time::Duration},
-    steer::SlidingWindow,
-    wire::Map,
-};
+use {crate::select_senders, std::time::Duration, steer::SlidingWindow, wire::Map};
 
 /// Number of VMs that may send requests to one cold target.
 const WARMUP_SENDERS: usize = 3;
@@ -15,20 +10,14 @@
 
 /// Selects the VMs that may send requests to a cold target.
 ///
-/// `vms` are pairs of VM name and availability zone. VMs in the target's zone come first, then
-/// the order is by rendezvous weight.
+/// `vms` are pairs of VM name and availability zone.
 #[must_use]
 pub fn select_warmup_senders<'a>(
     target: &str,
     zone: &str,
     vms: impl IntoIterator<Item = (&'a str, &'a str)>,
 ) -> Vec<&'a str> {
-    let mut ranked: Vec<(&str, &str)> = vms.into_iter().collect();
-    ranked.sort_by_key(|(name, vm_zone)| {
-        (*vm_zone != zone, Reverse(rendezvous_weight(target, name)))
-    });
-    ranked.truncate(WARMUP_SENDERS);
-    ranked.into_iter().map(|(name, _)| name).collect()
+    select_senders(target, zone, vms, WARMUP_SENDERS)
 }
 
 /// Rate limits of one VM for the cold targets that it may send requests to.
--- /dev/null
+++ b/crates/balance/tests/limited_targets.rs
@@ -0,0 +1,161 @@
+//! Where work goes that targets with a rate limit do not accept.
+
+use {
+    balance::{Balancer, Decision, EligibleTarget, Field, Locality, PendingRequest, QueueKey},
+    catalog::{Target, TargetState},
+    std::{collections::BTreeSet, net::SocketAddr, time::Duration},
+};
+
+const NOW: Duration = Duration::from_secs(10);
+const OBJECTIVE: Duration = Duration::from_millis(600);
+const LIMIT_PER_S: f64 = 0.5;
+
+fn target(id: &str, zone: &str) -> Target {
+    Target {
+        id: id.to_owned(),
+        service: "s".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 80)),
+        zone: zone.to_owned(),
+        slots: 4,
+        state: TargetState::Ready,
+        warmup_left: Duration::ZERO,
+        started_at_ms: 1,
+        report_number: 0,
+    }
+}
+
+fn eligible(target: &Target, has_remote_queue: bool) -> EligibleTarget<'_> {
+    let is_local = target.zone == "z";
+    EligibleTarget {
+        target,
+        locality: if is_local {
+            Locality::SameZone
+        } else {
+            Locality::OtherRegion
+        },
+        round_trip: Duration::from_millis(if is_local { 1 } else { 20 }),
+        is_cold: false,
+        has_remote_queue,
+        is_fallback: false,
+    }
+}
+
+fn request(object: &str) -> PendingRequest<'_> {
+    PendingRequest {
+        route: "r",
+        service: "s",
+        objective: OBJECTIVE,
+        object: Some(object),
+        id: "id",
+        queue_key: QueueKey {
+            priority: 0,
+            is_late: false,
+            sequence: 1,
+        },
+        caller_wait: Duration::ZERO,
+        local_wait: Duration::ZERO,
+        time_left: Duration::from_secs(4),
+        remote_round_trip: None,
+    }
+}
+
+/// Returns a balancer that has just used up the limits of these targets.
+fn balancer_without_room(limited: &[&str]) -> Balancer {
+    let mut balancer = Balancer::default();
+    for id in limited {
+        let stated = Field::Stated(LIMIT_PER_S);
+        balancer.statements.record_rate_limit(id, stated, NOW, NOW);
+        balancer.statements.record_send(id, NOW);
+    }
+    balancer
+}
+
+fn chosen(balancer: &mut Balancer, object: &str, targets: &[EligibleTarget<'_>]) -> Decision {
+    balancer.choose_target(&request(object), targets, NOW)
+}
+
+fn sent_to(decision: &Decision) -> Option<&str> {
+    match decision {
+        Decision::Send(dispatch) => Some(&dispatch.target),
+        Decision::Wait { .. } | Decision::Refuse { .. } => None,
+    }
+}
+
+/// Guards against a limit that makes all objects look for new targets.
+#[test]
+fn only_objects_of_the_limited_target_move_and_they_stay_in_their_region() {
+    let targets = [
+        target("a", "z"),
+        target("b", "z"),
+        target("c", "z"),
+        target("far", "y"),
+    ];
+    let eligible: Vec<EligibleTarget<'_>> = targets.iter().map(|t| eligible(t, false)).collect();
+    let objects: Vec<String> = (0..200).map(|n| n.to_string()).collect();
+    let mut moved_to = BTreeSet::new();
+
+    for object in &objects {
+        let before = chosen(&mut Balancer::default(), object, &eligible);
+        let after = chosen(&mut balancer_without_room(&["a"]), object, &eligible);
+        let before = sent_to(&before).map(str::to_owned);
+        let after = sent_to(&after).map(str::to_owned);
+        if before.as_deref() == Some("a") {
+            moved_to.insert(after);
+        } else {
+            assert_eq!(after, before, "object {object}");
+        }
+    }
+
+    let expected = ["b", "c"].map(|id| Some(id.to_owned()));
+    assert_eq!(moved_to, BTreeSet::from(expected));
+}
+
+/// Guards against a refusal while another region has room.
+#[test]
+fn region_whose_targets_are_all_limited_uses_another() {
+    let targets = [target("a", "z"), target("b", "z"), target("far", "y")];
+    let eligible: Vec<EligibleTarget<'_>> = targets.iter().map(|t| eligible(t, false)).collect();
+    let mut balancer = balancer_without_room(&["a", "b"]);
+
+    for object in ["1", "2", "3", "4"] {
+        let decision = chosen(&mut balancer, object, &eligible);
+        assert_eq!(sent_to(&decision), Some("far"), "object {object}");
+    }
+}
+
+/// Guards against a time to come back that is cut to the objective of the route.
+#[test]
+fn request_that_no_limit_admits_is_refused_with_the_time_until_one_does() {
+    let targets = [target("a", "z"), target("b", "z")];
+    let eligible: Vec<EligibleTarget<'_>> = targets.iter().map(|t| eligible(t, false)).collect();
+    let mut balancer = balancer_without_room(&["a", "b"]);
+
+    let decision = chosen(&mut balancer, "1", &eligible);
+
+    let Decision::Refuse { retry_after } = decision else {
+        panic!("{decision:?}");
+    };
+    let until_room = balancer.statements.time_until_room("a", 0.0, NOW);
+    assert_eq!(retry_after, until_room);
+    assert!(retry_after > OBJECTIVE, "{retry_after:?}");
+}
+
+/// Guards against requests that are relayed again to a VM which has just said that the limit
+/// leaves no room.
+#[test]
+fn target_that_its_sender_reported_full_is_not_asked_until_it_has_room() {
+    let targets = [target("a", "z")];
+    let eligible: Vec<EligibleTarget<'_>> = targets.iter().map(|t| eligible(t, true)).collect();
+    let mut balancer = balancer_without_room(&["a"]);
+    let wait = Duration::from_secs(1);
+    balancer.statements.record_full("a", NOW + wait);
+
+    let at_once = balancer.choose_target(&request("1"), &eligible, NOW);
+    let later = balancer.choose_target(&request("1"), &eligible, NOW + wait);
+
+    assert!(
+        matches!(at_once, Decision::Refuse { retry_after } if retry_after == wait),
+        "{at_once:?}"
+    );
+    assert_eq!(sent_to(&later), Some("a"));
+}
--- /dev/null
+++ b/crates/balance/tests/rate_limits.rs
@@ -0,0 +1,240 @@
+//! Rate limits that targets state for all VMs together, kept without coordination.
+
+use {
+    balance::{Change, Field, RateLimit, Statements, select_senders},
+    proptest::prelude::*,
+    std::time::Duration,
+};
+
+const TARGET: &str = "t";
+const TARGET_ZONE: &str = "a";
+const TICK_MS: u64 = 10;
+const WINDOW_MS: u64 = 4000;
+/// Time between two changes of the members that a VM knows: no VM is given up sooner.
+const MIN_CHANGE_MS: u64 = 1500;
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn limited(requests_per_s: f64) -> Statements {
+    let mut statements = Statements::default();
+    statements.record_rate_limit(TARGET, Field::Stated(requests_per_s), at(0), at(0));
+    statements
+}
+
+/// A fleet whose VMs all have more requests for one target than it takes.
+struct Fleet {
+    vms: Vec<Statements>,
+    names: Vec<String>,
+    /// VMs of the first half of the partition; the others are in the second half.
+    first_half: usize,
+    dead: Vec<bool>,
+    sent_ms: Vec<u64>,
+}
+
+impl Fleet {
+    fn new(vm_count: usize, requests_per_s: f64) -> Self {
+        Self {
+            vms: vec![limited(requests_per_s); vm_count],
+            names: (0..vm_count).map(|vm| format!("vm-{vm}")).collect(),
+            first_half: vm_count,
+            dead: vec![false; vm_count],
+            sent_ms: Vec::new(),
+        }
+    }
+
+    fn zone(vm: usize) -> &'static str {
+        ["a", "b", "c"][vm % 3]
+    }
+
+    /// Elects the VM of a half that sends to the target.
+    fn elect(&self, half: std::ops::Range<usize>) -> Option<usize> {
+        let live = half.filter(|vm| !self.dead[*vm]);
+        let known: Vec<(&str, &str)> = live
+            .map(|vm| (self.names[vm].as_str(), Self::zone(vm)))
+            .collect();
+        let senders = select_senders(TARGET, TARGET_ZONE, known, 1);
+        self.names
+            .iter()
+            .position(|name| senders.contains(&name.as_str()))
+    }
+
+    /// Sends what a VM may send now.
+    fn send(&mut self, sender: usize, now_ms: u64) {
+        let statements = &mut self.vms[sender];
+        while statements
+            .time_until_room(TARGET, 0.0, at(now_ms))
+            .is_zero()
+        {
+            statements.record_send(TARGET, at(now_ms));
+            self.sent_ms.push(now_ms);
+        }
+    }
+
+    fn run(&mut self, from_ms: u64, to_ms: u64) {
+        let halves = [0..self.first_half, self.first_half..self.vms.len()];
+        let senders: Vec<usize> = halves
+            .into_iter()
+            .filter_map(|half| self.elect(half))
+            .collect();
+        for now_ms in (from_ms..to_ms).step_by(usize::try_from(TICK_MS).unwrap_or(1)) {
+            for sender in &senders {
+                self.send(*sender, now_ms);
+            }
+        }
+    }
+
+    fn max_in_window(&self) -> usize {
+        let mut first = 0;
+        let mut max = 0;
+        for (last, sent_ms) in self.sent_ms.iter().enumerate() {
+            while self.sent_ms[first] + WINDOW_MS <= *sent_ms {
+                first += 1;
+            }
+            max = max.max(last + 1 - first);
+        }
+        max
+    }
+}
+
+/// Something that happens to a fleet.
+#[derive(Debug, Clone)]
+enum Event {
+    /// A partition divides the VMs, as a fraction of them.
+    Split(f64),
+    Heal,
+    /// A VM, as a fraction of their number, is killed and replaced after the next event.
+    Kill(f64),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        (0.0..1.0).prop_map(Event::Split),
+        Just(Event::Heal),
+        (0.0..1.0).prop_map(Event::Kill),
+    ]
+}
+
+#[allow(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "small counts"
+)]
+fn index(fraction: f64, count: usize) -> usize {
+    (fraction * count as f64) as usize
+}
+
+fn allowed(requests_per_s: f64) -> f64 {
+    1.5 * requests_per_s * 4.0 + 5.0
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against senders that together exceed a limit while the fleet is partitioned, heals,
+    /// and loses VMs.
+    #[test]
+    fn senders_of_a_fleet_stay_within_the_limit(
+        vm_count in prop_oneof![Just(3_usize), Just(12), Just(80)],
+        requests_per_s in prop_oneof![0.2_f64..1.0, 1.0..10.0, 10.0..1000.0],
+        events in prop::collection::vec((event(), MIN_CHANGE_MS..4000), 1..8),
+    ) {
+        let mut fleet = Fleet::new(vm_count, requests_per_s);
+        let mut now_ms = 0;
+        for (event, duration_ms) in events {
+            fleet.dead.fill(false);
+            match event {
+                Event::Split(part) => fleet.first_half = index(part, vm_count),
+                Event::Heal => fleet.first_half = vm_count,
+                Event::Kill(vm) => {
+                    let vm = index(vm, vm_count);
+                    fleet.dead[vm] = true;
+                    // It starts again without what it counted.
+                    fleet.vms[vm] = limited(requests_per_s);
+                }
+            }
+            fleet.run(now_ms, now_ms + duration_ms);
+            now_ms += duration_ms;
+        }
+
+        let worst = u32::try_from(fleet.max_in_window()).unwrap_or(u32::MAX);
+        prop_assert!(
+            f64::from(worst) <= allowed(requests_per_s),
+            "{worst} requests in 4 s at {requests_per_s} a second"
+        );
+    }
+
+    /// Guards against a limit that is kept by sending far less.
+    #[test]
+    fn two_thirds_of_a_limit_are_used(requests_per_s in 0.2_f64..1000.0) {
+        let mut fleet = Fleet::new(12, requests_per_s);
+
+        fleet.run(0, 60_000);
+
+        let sent = f64::from(u32::try_from(fleet.sent_ms.len()).unwrap_or(u32::MAX));
+        prop_assert!(sent >= requests_per_s * 60.0 * 2.0 / 3.0, "{sent} requests in 60 s");
+    }
+}
+
+#[test]
+fn limit_ends_with_a_response_to_a_later_request() {
+    let mut statements = limited(4.0);
+
+    let from_earlier = statements.record_rate_limit(TARGET, Field::Absent, at(0), at(3000));
+    statements.record_rate_limit(TARGET, Field::Stated(4.0), at(0), at(3100));
+    let soon_after = statements.record_rate_limit(TARGET, Field::Absent, at(3200), at(3300));
+    let is_held = statements.rate_limit(TARGET).is_some();
+    let later = statements.record_rate_limit(TARGET, Field::Absent, at(4200), at(4300));
+
+    assert_eq!(from_earlier, Some(Change::Unlimited));
+    assert_eq!(soon_after, None);
+    assert!(is_held);
+    assert_eq!(later, Some(Change::Unlimited));
+    assert_eq!(statements.rate_limit(TARGET), None);
+}
+
+#[test]
+fn response_to_a_request_sent_before_the_statement_does_not_end_the_limit() {
+    let mut statements = limited(4.0);
+    statements.record_rate_limit(TARGET, Field::Stated(4.0), at(900), at(1000));
+
+    let change = statements.record_rate_limit(TARGET, Field::Absent, at(999), at(5000));
+
+    assert_eq!(change, None);
+    assert!(statements.rate_limit(TARGET).is_some());
+}
+
+#[test]
+fn unreadable_limit_keeps_the_one_in_force() {
+    let mut statements = limited(4.0);
+
+    statements.record_rate_limit(TARGET, Field::Unreadable, at(2000), at(2100));
+
+    let in_force = statements
+        .rate_limit(TARGET)
+        .map(|limit| limit.requests_per_s);
+    assert_eq!(in_force, Some(4.0));
+}
+
+/// A target that gets nothing could not state that its limit has ended.
+#[test]
+fn limit_of_zero_lets_a_request_through_now_and_then() {
+    let mut statements = limited(0.0);
+
+    statements.record_send(TARGET, at(0));
+    let wait = statements.time_until_room(TARGET, 0.0, at(0));
+
+    assert!(wait > at(1000), "{wait:?}");
+    assert!(wait < at(10_000), "{wait:?}");
+}
+
+#[test]
+fn restarted_target_has_no_limit() {
+    let mut statements = limited(4.0);
+
+    statements.clear(TARGET);
+
+    assert_eq!(statements.rate_limit(TARGET), None::<&RateLimit>);
+}
--- a/crates/gateway/src/frontend/attempt.rs
+++ b/crates/gateway/src/frontend/attempt.rs
@@ -7,9 +7,9 @@
             Attempt, NotExecutedReason, Outcome, ResponseFault, StreamEnd, TargetRequest,
             relay::{RelayContext, RelayOutcome},
         },
-        node::{QueueOwner, RequestContext, Reservation},
+        node::{AVOID_TIME, QueueOwner, RequestContext, Reservation},
     },
-    balance::{Affinity, Dispatch},
+    balance::{Affinity, Dispatch, Field},
     std::{net::SocketAddr, rc::Rc, time::Duration},
 };
 
@@ -43,10 +43,27 @@
                 );
                 return Ok(observe_body(node, context, reservation, outcome));
             }
-            RelayOutcome::Full { retry_after } => return Err(retry_after),
+            RelayOutcome::Full {
+                retry_after,
+                feedback,
+            } => {
+                let dispatch = &reservation.dispatch;
+                // That VM may not know yet what the target stated, so only a limit that it knows
+                // counts.
+                if matches!(feedback.rate_limit, Field::Stated(_)) {
+                    node.record_statements(
+                        &dispatch.target,
+                        &feedback,
+                        dispatch.sent_at,
+                        &context.id,
+                    );
+                }
+                node.record_full(&dispatch.target, retry_after);
+                return Err(retry_after);
+            }
             RelayOutcome::NotServed => {}
             RelayOutcome::Unreachable => {
-                log::warn!(event = "keeper_unreachable", vm = queue_owner.name.as_str(), target = reservation.dispatch.target.as_str(), request = context.id.as_str(); "VM that owns the target's queue is unreachable; sending to the target directly");
+                log::warn!(event = "keeper_unreachable", vm = queue_owner.name.as_str(), target = reservation.dispatch.target.as_str(), request = context.id.as_str(); "VM that owns the target's queue is unreachable; sending to the target directly, unless its rate is limited");
                 node.avoid_queue_owner(queue_owner, node.now());
             }
             RelayOutcome::NoResponse(outcome) => {
@@ -55,6 +72,10 @@
                 return Ok(outcome);
             }
         }
+        // Only the VM that keeps the limit for all may send to the target.
+        if node.is_rate_limited(&reservation.dispatch.target) {
+            return Err(AVOID_TIME);
+        }
     }
     Ok(send_directly(node, context, request, reservation, fingerprint).await)
 }
--- a/crates/gateway/src/http_client/relay.rs
+++ b/crates/gateway/src/http_client/relay.rs
@@ -7,6 +7,7 @@
         send::{RawResponse, build_request_with_deadline, classify_response},
     },
     crate::HeaderNames,
+    balance::Feedback,
     hyper::{
         HeaderMap,
         header::{HeaderName, HeaderValue},
@@ -51,7 +52,11 @@
         running_time: Option<Duration>,
     },
     /// The target has no room before the deadline; the request was not sent.
-    Full { retry_after: Duration },
+    Full {
+        retry_after: Duration,
+        /// What the VM knows of the target's statements.
+        feedback: Feedback,
+    },
     /// The VM did not accept the request.
     NotServed,
     /// The VM cannot be reached.
@@ -114,7 +119,12 @@
     raw.headers.remove(RETRY_AFTER_MS_HEADER);
     let outcome = outcome.as_ref().and_then(|outcome| outcome.to_str().ok());
     let outcome = match outcome.unwrap_or_default() {
-        FULL => return RelayOutcome::Full { retry_after },
+        FULL => {
+            return RelayOutcome::Full {
+                retry_after,
+                feedback: (header_names.feedback.decode)(&raw.headers),
+            };
+        }
         NOT_SERVED => return RelayOutcome::NotServed,
         ANSWERED => classify_response(header_names, request, raw),
         TIMED_OUT => Outcome::TimedOut,
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -9,7 +9,7 @@
 mod statements;
 mod vm_lookup;
 
-pub(crate) use queue_owners::{QueueOwner, QueueOwners};
+pub(crate) use queue_owners::{AVOID_TIME, Path, QueueOwner, QueueOwners};
 pub(crate) use request::{Assignment, QueueEntry, RequestContext, Reservation, Selection};
 pub use state::Node;
 pub(crate) use state::duration_ms;
--- a/crates/gateway/src/node/queue_owners.rs
+++ b/crates/gateway/src/node/queue_owners.rs
@@ -6,14 +6,14 @@
 
 use {
     super::Node,
-    balance::rendezvous_weight,
+    balance::{rendezvous_weight, select_senders},
     catalog::Target,
-    std::{net::SocketAddr, time::Duration},
+    std::{cell::RefMut, net::SocketAddr, time::Duration},
     wire::Map,
 };
 
 /// Time for which no request is relayed to a VM that was unreachable or did not respond.
-const AVOID_TIME: Duration = Duration::from_secs(1);
+pub(crate) const AVOID_TIME: Duration = Duration::from_secs(1);
 
 /// Another VM that owns the queue of a target.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -23,37 +23,99 @@
     pub(crate) address: SocketAddr,
 }
 
+/// How the requests of this VM reach a target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Path {
+    /// This VM sends them itself.
+    Direct,
+    /// They are relayed through another VM.
+    Through(QueueOwner),
+    /// They do not: the only VM that may send them cannot be reached.
+    Closed,
+}
+
 /// The queue owners by target, cached for one generation of the member view.
 #[derive(Debug, Default)]
 pub(crate) struct QueueOwners {
     generation: u64,
     /// By target; `None` if this VM owns the queue or no VM of the zone is alive.
     cached: Map<String, Option<QueueOwner>>,
+    /// By target with a rate limit, the path through the only VM that sends to it.
+    limited_paths: Map<String, Path>,
     /// By VM name, the time until which no request is relayed to it.
     avoided_until: Map<String, Duration>,
 }
 
+impl QueueOwners {
+    fn is_avoided(&self, owner: &QueueOwner, now: Duration) -> bool {
+        let until = self.avoided_until.get(&owner.name);
+        until.is_some_and(|until| now < *until)
+    }
+}
+
 impl Node {
     /// Returns the other VM that owns a target's queue. Returns `None` if this VM owns it, if no
     /// VM of the target's zone is alive or if the owner is avoided after a failure; requests
     /// then go directly to the target.
     pub(crate) fn remote_queue_owner(&self, target: &Target, now: Duration) -> Option<QueueOwner> {
-        let mut owners = self.queue_owners.borrow_mut();
-        let generation = self.member_view().generation();
-        if owners.generation != generation {
-            owners.generation = generation;
-            owners.cached.clear();
-        }
+        let mut owners = self.current_queue_owners();
         let cached = owners.cached.get(&target.id).cloned();
         let owner = cached.unwrap_or_else(|| {
             let elected = self.elect_queue_owner(target);
             owners.cached.insert(target.id.clone(), elected.clone());
             elected
         });
-        let avoided_until = owner
-            .as_ref()
-            .and_then(|owner| owners.avoided_until.get(&owner.name));
-        owner.filter(|_| avoided_until.is_none_or(|until| now >= *until))
+        owner.filter(|owner| !owners.is_avoided(owner, now))
+    }
+
+    /// Returns how requests reach a target with a rate limit: through one VM, which keeps the limit
+    /// for all. That is the owner of the target's queue, or any VM if none of the zone is alive.
+    pub(crate) fn limited_path(&self, target: &Target, now: Duration) -> Path {
+        let mut owners = self.current_queue_owners();
+        let cached = owners.limited_paths.get(&target.id).cloned();
+        let path = cached.unwrap_or_else(|| {
+            let elected = self.elect_sender(target);
+            owners
+                .limited_paths
+                .insert(target.id.clone(), elected.clone());
+            elected
+        });
+        match path {
+            Path::Through(owner) if owners.is_avoided(&owner, now) => Path::Closed,
+            path => path,
+        }
+    }
+
+    /// Borrows the queue owners, without those of an earlier generation of the member view.
+    fn current_queue_owners(&self) -> RefMut<'_, QueueOwners> {
+        let mut owners = self.queue_owners.borrow_mut();
+        let generation = self.member_view().generation();
+        if owners.generation != generation {
+            owners.generation = generation;
+            owners.cached.clear();
+            owners.limited_paths.clear();
+        }
+        owners
+    }
+
+    /// Selects the only VM that may send to a target with a rate limit.
+    fn elect_sender(&self, target: &Target) -> Path {
+        let view = self.member_view();
+        let mut vms = view.serving_members();
+        vms.retain(|vm| view.is_alive(&vm.name));
+        let names = vms.iter().map(|vm| (vm.name.as_str(), vm.zone.as_str()));
+        let elected = select_senders(&target.id, &target.zone, names, 1);
+        let Some(elected) = vms.iter().find(|vm| elected.contains(&vm.name.as_str())) else {
+            return Path::Closed;
+        };
+        if elected.name == self.settings.name {
+            return Path::Direct;
+        }
+        let address = elected.peer.parse();
+        address.map_or(Path::Closed, |address| {
+            let name = elected.name.clone();
+            Path::Through(QueueOwner { name, address })
+        })
     }
 
     /// Stops relaying requests to a queue owner for [`AVOID_TIME`] and closes the idle
--- a/crates/gateway/src/node/selection.rs
+++ b/crates/gateway/src/node/selection.rs
@@ -1,7 +1,7 @@
 //! Selects targets for requests and enforces the limits that all VMs share.
 
 use {
-    super::{Node, QueueOwner, RequestContext, Reservation, Selection},
+    super::{Node, Path, QueueOwner, RequestContext, Reservation, Selection},
     balance::{
         Decision, EligibleTarget, Locality, PendingRequest, QueueKey, select_warmup_senders,
     },
@@ -55,7 +55,14 @@
         self.balancer
             .borrow_mut()
             .record_dispatch(&dispatch, rate_limit, now);
-        let queue_owner = self.queue_owner_for(request, target, chosen.is_cold, now);
+        let queue_owner = match self.path_to(request, target, chosen.is_cold, now) {
+            Path::Through(owner) => Some(owner),
+            Path::Direct | Path::Closed => {
+                let mut balancer = self.balancer.borrow_mut();
+                balancer.statements.record_send(&target.id, now);
+                None
+            }
+        };
         let reservation = Reservation::new(self, dispatch, target.address, queue_owner);
         Selection::Send(Box::new(reservation))
     }
@@ -80,9 +87,9 @@
         let preselection = balance::preselect_targets(pending.key(), with_side);
         let mut targets: Vec<EligibleTarget<'a>> =
             preselection.local.targets().filter_map(eligible).collect();
-        let local_count = targets.len();
+        let local_count = self.count_unlimited(&targets);
         targets.extend(preselection.remote.targets().filter_map(eligible));
-        let remote_count = targets.len() - local_count;
+        let remote_count = self.count_unlimited(&targets) - local_count;
         if preselection.local.suffices(local_count) && preselection.remote.suffices(remote_count) {
             return targets;
         }
@@ -90,14 +97,23 @@
         targets.filter_map(eligible).collect()
     }
 
+    fn count_unlimited(&self, targets: &[EligibleTarget<'_>]) -> usize {
+        let statements = &self.balancer.borrow().statements;
+        let limits = targets
+            .iter()
+            .map(|eligible| statements.rate_limit(&eligible.target.id));
+        limits.filter(Option::is_none).count()
+    }
+
     /// Returns whether a target is in another region.
     fn is_remote(&self, target: &Target) -> bool {
         target.zone != self.settings.zone
             && self.settings.region_of(&target.zone) != self.settings.region
     }
 
-    /// Returns a target if it may run a request now. One that is ejected, or cold while this VM may
-    /// not send it one more request, may not.
+    /// Returns a target if it may run a request now. One that is ejected, cold while this VM may not
+    /// send it one more request, or limited while the VM that sends to it cannot be reached, may
+    /// not.
     fn eligible_target<'a>(
         &self,
         request: &RequestContext,
@@ -106,7 +122,11 @@
         now: Duration,
     ) -> Option<EligibleTarget<'a>> {
         let is_cold = catalog.is_cold(&target.id, now);
-        let queue_owner = self.queue_owner_for(request, target, is_cold, now);
+        let queue_owner = match self.path_to(request, target, is_cold, now) {
+            Path::Direct => None,
+            Path::Through(owner) => Some(owner),
+            Path::Closed => return None,
+        };
         let (locality, round_trip) = self.locate_target(request, target, queue_owner.as_ref())?;
         let is_ejected = self.balancer.borrow().is_ejected(&target.id, now);
         if is_ejected || (is_cold && !self.has_warmup_capacity(target, now)) {
@@ -143,7 +163,10 @@
         let remote = targets.filter(|target| self.is_remote(target));
         let round_trips = remote.map(|target| {
             let is_cold = catalog.is_cold(&target.id, now);
-            let queue_owner = self.queue_owner_for(request, target, is_cold, now);
+            let queue_owner = match self.path_to(request, target, is_cold, now) {
+                Path::Through(owner) => Some(owner),
+                Path::Direct | Path::Closed => None,
+            };
             self.estimate_distance(target, queue_owner.as_ref()).1
         });
         let nearest = round_trips.min();
@@ -152,20 +175,27 @@
         nearest
     }
 
-    /// Returns the VM through which a request goes to a target, or `None` if this VM sends it
-    /// directly. A request that another VM relayed is already at the queue owner, and cold
-    /// targets get requests only directly from the VMs selected for their warm-up.
-    fn queue_owner_for(
+    /// Returns how a request reaches a target. One that another VM relayed is already at the queue
+    /// owner. Requests to a target with a rate limit all go through one VM; a cold target without
+    /// one gets requests only directly from the VMs selected for its warm-up.
+    fn path_to(
         &self,
         request: &RequestContext,
         target: &Target,
         is_cold: bool,
         now: Duration,
-    ) -> Option<QueueOwner> {
-        if request.assignment.is_some() || is_cold {
-            return None;
+    ) -> Path {
+        if request.assignment.is_some() {
+            return Path::Direct;
+        }
+        if self.is_rate_limited(&target.id) {
+            return self.limited_path(target, now);
+        }
+        if is_cold {
+            return Path::Direct;
         }
-        self.remote_queue_owner(target, now)
+        let owner = self.remote_queue_owner(target, now);
+        owner.map_or(Path::Direct, Path::Through)
     }
 
     /// Returns whether the rate limit of a cold target allows one more request from this VM.
--- a/crates/gateway/src/node/statements.rs
+++ b/crates/gateway/src/node/statements.rs
@@ -7,6 +7,19 @@
 };
 
 impl Node {
+    /// Returns whether a rate limit is in force for a target.
+    pub(crate) fn is_rate_limited(&self, target: &str) -> bool {
+        let balancer = self.balancer.borrow();
+        balancer.statements.rate_limit(target).is_some()
+    }
+
+    /// Records that the VM through which requests go to a target has no room for `retry_after`.
+    pub(crate) fn record_full(&self, target: &str, retry_after: Duration) {
+        let until = self.now().saturating_add(retry_after);
+        let mut balancer = self.balancer.borrow_mut();
+        balancer.statements.record_full(target, until);
+    }
+
     /// Takes over what a target stated in its response to the request `request_id`, which was sent
     /// at `sent_at`.
     pub(crate) fn record_statements(
