Pass on rate limits of targets between VMs

A VM heard of a limit only from responses that it had or relayed. One that starts, or that takes the place of the sender, sent without it until its first response, and one that was never told would send to the target itself when the sender cannot be reached.

Each VM now passes the limits in force on with its probes, up to 16 in a datagram of their own, those first that were not passed on for longest; the one that the target told sends a change to all at once. Without limits there is no datagram. A newer statement wins, by its age, with 200 ms for the way; the end of a limit is passed on for 10 s; one of another process of the target is passed over. VMs of earlier builds drop these datagrams, and their own are understood.

Five unit tests of the order.

--- a/crates/balance/src/feedback/mod.rs
+++ b/crates/balance/src/feedback/mod.rs
@@ -6,4 +6,4 @@
 mod token_bucket;
 
 pub use report::{Feedback, Field};
-pub use statements::{Change, RateLimit, Source, Statements};
+pub use statements::{Change, Gossip, RateLimit, Source, Statements};
--- a/crates/balance/src/feedback/statements.rs
+++ b/crates/balance/src/feedback/statements.rs
@@ -10,6 +10,11 @@
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// A limit holds for this long after it was last stated, even if a response lacks it.
 const MIN_HOLD: Duration = Duration::from_secs(1);
+/// A statement passed on by a VM replaces a known one only if it is newer by more than this, which
+/// covers the time that it was on the way.
+const GOSSIP_MARGIN: Duration = Duration::from_millis(200);
+/// The end of a limit is passed on for this long.
+const END_RETENTION: Duration = Duration::from_secs(10);
 
 /// From whom this VM has a statement.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -44,10 +49,25 @@
     Unlimited,
 }
 
+/// A statement as VMs pass it on.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Gossip<'a> {
+    /// Identifier of the target.
+    pub target: &'a str,
+    /// Requests per second, or `None` if the target no longer states a limit.
+    pub limit_per_s: Option<f64>,
+    /// When the target made the statement.
+    pub stated_at: Duration,
+}
+
 /// What one target stated.
 #[derive(Debug, Clone, Default)]
 struct Entry {
     rate_limit: Option<RateLimit>,
+    /// When the target made its last known statement, or no longer made one.
+    stated_at: Duration,
+    /// When this VM last passed the statement on.
+    gossiped_at: Option<Duration>,
     /// Paces what this VM sends to the target while it has a limit.
     bucket: Option<TokenBucket>,
     /// Until when the VM that sends to the target has no room for requests of this one.
@@ -80,14 +100,44 @@
         }
         let entry = self.by_target.entry(target.to_owned()).or_default();
         let change = entry.apply(stated, sent_at, now)?;
-        let is_reported_recently = entry
-            .reported_at
-            .is_some_and(|at| now.saturating_sub(at) < REPORT_INTERVAL);
-        if is_reported_recently {
+        entry.report(change, now)
+    }
+
+    /// Takes over what the VM `from` passed on, if it is newer than what is known. Returns the
+    /// change, unless one of this target was returned shortly before.
+    pub fn merge(&mut self, gossip: &Gossip<'_>, from: &str, now: Duration) -> Option<Change> {
+        let known = self.by_target.get(gossip.target);
+        let is_newer = known.is_none_or(|known| gossip.stated_at > known.stated_at + GOSSIP_MARGIN);
+        if !is_newer || (known.is_none() && gossip.limit_per_s.is_none()) {
             return None;
         }
-        entry.reported_at = Some(now);
-        Some(change)
+        let entry = self.by_target.entry(gossip.target.to_owned()).or_default();
+        let source = Source::Vm(from.to_owned());
+        let change = match gossip.limit_per_s {
+            Some(limit_per_s) => entry.set_limit(limit_per_s, gossip.stated_at, source, now),
+            None => entry.end_limit(gossip.stated_at),
+        };
+        entry.report(change?, now)
+    }
+
+    /// Returns up to `max_count` statements to pass on, those first that were not for longest.
+    pub fn take_gossip(&mut self, max_count: usize, now: Duration) -> Vec<Gossip<'_>> {
+        let entries = self.by_target.iter_mut();
+        let mut due: Vec<(&String, &mut Entry)> = entries
+            .filter(|(_, entry)| entry.is_worth_telling(now))
+            .collect();
+        due.sort_by_key(|(_, entry)| entry.gossiped_at);
+        due.truncate(max_count);
+        let mut taken = Vec::with_capacity(due.len());
+        for (target, entry) in due {
+            entry.gossiped_at = Some(now);
+            taken.push(Gossip {
+                target,
+                limit_per_s: entry.rate_limit.as_ref().map(|limit| limit.requests_per_s),
+                stated_at: entry.stated_at,
+            });
+        }
+        taken
     }
 
     /// Returns the rate limit that is in force for a target.
@@ -159,39 +209,65 @@
 }
 
 impl Entry {
-    fn end_limit(&mut self) {
-        self.rate_limit = None;
+    /// Returns the change, unless one was returned shortly before.
+    fn report(&mut self, change: Change, now: Duration) -> Option<Change> {
+        let is_recent = |at: Duration| now.saturating_sub(at) < REPORT_INTERVAL;
+        if self.reported_at.is_some_and(is_recent) {
+            return None;
+        }
+        self.reported_at = Some(now);
+        Some(change)
+    }
+
+    /// Returns whether other VMs may not know the statement: a limit, or one that ended recently.
+    fn is_worth_telling(&self, now: Duration) -> bool {
+        let age = now.saturating_sub(self.stated_at);
+        self.rate_limit.is_some() || (self.stated_at > Duration::ZERO && age < END_RETENTION)
+    }
+
+    /// Brings a limit into force. Returns the change, if the limit is another than before.
+    fn set_limit(
+        &mut self,
+        requests_per_s: f64,
+        stated_at: Duration,
+        source: Source,
+        now: Duration,
+    ) -> Option<Change> {
+        match &mut self.bucket {
+            Some(bucket) => bucket.set_limit(requests_per_s, now),
+            None => self.bucket = Some(TokenBucket::new(requests_per_s, now)),
+        }
+        let known = self.rate_limit.as_ref();
+        #[allow(clippy::float_cmp, reason = "both are parsed from the same text")]
+        let is_unchanged = known.is_some_and(|known| known.requests_per_s == requests_per_s);
+        self.stated_at = stated_at;
+        self.rate_limit = Some(RateLimit {
+            requests_per_s,
+            since: known.map_or(now, |known| known.since),
+            stated_at,
+            source,
+        });
+        (!is_unchanged).then_some(Change::Limited(requests_per_s))
+    }
+
+    fn end_limit(&mut self, stated_at: Duration) -> Option<Change> {
+        self.stated_at = stated_at;
         self.bucket = None;
         self.full_until = Duration::ZERO;
+        self.rate_limit.take().map(|_| Change::Unlimited)
     }
 
     fn apply(&mut self, stated: Field<f64>, sent_at: Duration, now: Duration) -> Option<Change> {
         match stated {
             Field::Unreadable => Some(Change::Unreadable),
+            Field::Stated(limit_per_s) => self.set_limit(limit_per_s, now, Source::Target, now),
             Field::Absent => {
                 let known = self.rate_limit.as_ref()?;
                 let is_held = now.saturating_sub(known.stated_at) < MIN_HOLD;
                 if is_held || sent_at < known.stated_at {
                     return None;
                 }
-                self.end_limit();
-                Some(Change::Unlimited)
-            }
-            Field::Stated(requests_per_s) => {
-                match &mut self.bucket {
-                    Some(bucket) => bucket.set_limit(requests_per_s, now),
-                    None => self.bucket = Some(TokenBucket::new(requests_per_s, now)),
-                }
-                let known = self.rate_limit.as_ref();
-                #[allow(clippy::float_cmp, reason = "both are parsed from a header")]
-                let is_unchanged = known.is_some_and(|k| k.requests_per_s == requests_per_s);
-                self.rate_limit = Some(RateLimit {
-                    requests_per_s,
-                    since: known.map_or(now, |known| known.since),
-                    stated_at: now,
-                    source: Source::Target,
-                });
-                (!is_unchanged).then_some(Change::Limited(requests_per_s))
+                self.end_limit(now)
             }
         }
     }
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -22,7 +22,7 @@
 mod wait_queues;
 
 pub use balancer::Balancer;
-pub use feedback::{Change, Feedback, Field, RateLimit, Source, Statements};
+pub use feedback::{Change, Feedback, Field, Gossip, RateLimit, Source, Statements};
 pub use preselection::{Preselection, Side, preselect_targets};
 pub use priority_reserve::PriorityReserve;
 pub use recent_objects::RecentObjects;
--- a/crates/balance/tests/rate_limits.rs
+++ b/crates/balance/tests/rate_limits.rs
@@ -1,7 +1,7 @@
 //! Rate limits that targets state for all VMs together, kept without coordination.
 
 use {
-    balance::{Change, Field, RateLimit, Statements, select_senders},
+    balance::{Change, Field, Gossip, RateLimit, Source, Statements, select_senders},
     proptest::prelude::*,
     std::time::Duration,
 };
@@ -238,3 +238,73 @@
 
     assert_eq!(statements.rate_limit(TARGET), None::<&RateLimit>);
 }
+
+fn gossip(limit_per_s: Option<f64>, stated_at_ms: u64) -> Gossip<'static> {
+    Gossip {
+        target: TARGET,
+        limit_per_s,
+        stated_at: at(stated_at_ms),
+    }
+}
+
+/// Guards against a VM that starts without the limits that the others know.
+#[test]
+fn limit_is_heard_from_another_vm() {
+    let mut statements = Statements::default();
+
+    let change = statements.merge(&gossip(Some(4.0), 1000), "vm-1", at(1100));
+
+    let limit = statements.rate_limit(TARGET);
+    assert_eq!(change, Some(Change::Limited(4.0)));
+    assert_eq!(
+        limit.map(|limit| &limit.source),
+        Some(&Source::Vm("vm-1".to_owned()))
+    );
+}
+
+#[test]
+fn end_of_a_limit_is_heard_from_another_vm() {
+    let mut statements = limited(4.0);
+
+    let change = statements.merge(&gossip(None, 2000), "vm-1", at(2100));
+
+    assert_eq!(change, Some(Change::Unlimited));
+    assert_eq!(statements.rate_limit(TARGET), None);
+}
+
+/// Guards against an ended limit that comes back from a VM which has not heard of the end.
+#[test]
+fn older_statement_of_another_vm_changes_nothing() {
+    let mut statements = limited(4.0);
+    statements.record_rate_limit(TARGET, Field::Absent, at(3000), at(3100));
+
+    let change = statements.merge(&gossip(Some(4.0), 3050), "vm-1", at(3150));
+
+    assert_eq!(change, None);
+    assert_eq!(statements.rate_limit(TARGET), None);
+}
+
+#[test]
+fn statements_that_were_not_passed_on_for_longest_come_first() {
+    let mut statements = Statements::default();
+    for id in ["a", "b", "c"] {
+        statements.record_rate_limit(id, Field::Stated(4.0), at(0), at(1));
+    }
+
+    let mut passed_on: Vec<String> = Vec::new();
+    for now_ms in [10, 20, 30] {
+        let taken = statements.take_gossip(1, at(now_ms));
+        passed_on.extend(taken.iter().map(|gossip| gossip.target.to_owned()));
+    }
+
+    passed_on.sort();
+    assert_eq!(passed_on, ["a", "b", "c"]);
+}
+
+#[test]
+fn nothing_is_passed_on_where_no_target_states_a_limit() {
+    let mut statements = Statements::default();
+    statements.record_rate_limit(TARGET, Field::Absent, at(0), at(100));
+
+    assert!(statements.take_gossip(16, at(200)).is_empty());
+}
--- a/crates/gateway/src/frontend/attempt.rs
+++ b/crates/gateway/src/frontend/attempt.rs
@@ -56,6 +56,7 @@
                         &feedback,
                         dispatch.sent_at,
                         &context.id,
+                        false,
                     );
                 }
                 node.record_full(&dispatch.target, retry_after);
@@ -112,7 +113,7 @@
     let now = node.now();
     let dispatch = &reservation.dispatch;
     log_exchange(context, reservation, outcome, now);
-    record_statements(node, context, dispatch, outcome);
+    record_statements(node, context, dispatch, outcome, false);
     match outcome {
         Outcome::Answered(response) => {
             let mut balancer = node.balancer.borrow_mut();
@@ -144,9 +145,11 @@
     context: &RequestContext,
     dispatch: &Dispatch,
     outcome: &Outcome,
+    is_direct: bool,
 ) {
     if let Some(feedback) = outcome.feedback() {
-        node.record_statements(&dispatch.target, &feedback, dispatch.sent_at, &context.id);
+        let (target, sent_at) = (&dispatch.target, dispatch.sent_at);
+        node.record_statements(target, &feedback, sent_at, &context.id, is_direct);
     }
 }
 
@@ -240,7 +243,7 @@
     let now = node.now();
     let dispatch = &reservation.dispatch;
     log_exchange(context, reservation, outcome, now);
-    record_statements(node, context, dispatch, outcome);
+    record_statements(node, context, dispatch, outcome, true);
     match outcome {
         Outcome::Answered(response) => {
             node.balancer
--- a/crates/gateway/src/node/statements.rs
+++ b/crates/gateway/src/node/statements.rs
@@ -2,8 +2,9 @@
 
 use {
     super::Node,
-    balance::{Change, Feedback, Field},
-    std::time::Duration,
+    crate::peers::broadcast_statements,
+    balance::{Change, Feedback, Field, Gossip},
+    std::{rc::Rc, time::Duration},
 };
 
 impl Node {
@@ -21,31 +22,54 @@
     }
 
     /// Takes over what a target stated in its response to the request `request_id`, which was sent
-    /// at `sent_at`.
+    /// at `sent_at`. With `is_direct`, this VM had the response from the target itself and passes
+    /// changes on.
     pub(crate) fn record_statements(
-        &self,
+        self: &Rc<Self>,
         target: &str,
         feedback: &Feedback,
         sent_at: Duration,
         request_id: &str,
+        is_direct: bool,
     ) {
         if feedback.rate_limit == Field::Unreadable {
             metrics::counter!("cicadalift_statements_unreadable_total", "statement" => "rate limit")
                 .increment(1);
         }
-        let mut balancer = self.balancer.borrow_mut();
-        let statements = &mut balancer.statements;
-        let change = statements.record_rate_limit(target, feedback.rate_limit, sent_at, self.now());
-        let Some(change) = change else {
-            return;
+        let change = {
+            let mut balancer = self.balancer.borrow_mut();
+            let statements = &mut balancer.statements;
+            statements.record_rate_limit(target, feedback.rate_limit, sent_at, self.now())
         };
-        metrics::gauge!("cicadalift_limited_targets").set(f64::from(statements.limited_count()));
+        if let Some(change) = change {
+            self.report_change(target, change, request_id, "");
+            if is_direct {
+                broadcast_statements(self);
+            }
+        }
+    }
+
+    /// Takes over what the VM `from` passed on of a target's statements.
+    pub(crate) fn merge_statement(&self, gossip: &Gossip<'_>, from: &str) {
+        let now = self.now();
+        let change = {
+            let mut balancer = self.balancer.borrow_mut();
+            balancer.statements.merge(gossip, from, now)
+        };
+        if let Some(change) = change {
+            self.report_change(gossip.target, change, "", from);
+        }
+    }
+
+    fn report_change(&self, target: &str, change: Change, request_id: &str, from: &str) {
+        let limited_count = self.balancer.borrow().statements.limited_count();
+        metrics::gauge!("cicadalift_limited_targets").set(f64::from(limited_count));
         match change {
             Change::Limited(requests_per_s) => {
-                log::info!(event = "target_limited", target = target, requests_per_s = requests_per_s, request = request_id; "target accepts only this many requests per second from all VMs together");
+                log::info!(event = "target_limited", target = target, requests_per_s = requests_per_s, request = request_id, heard_from = from; "target accepts only this many requests per second from all VMs together");
             }
             Change::Unlimited => {
-                log::info!(event = "target_unlimited", target = target, request = request_id; "target no longer states a rate limit");
+                log::info!(event = "target_unlimited", target = target, request = request_id, heard_from = from; "target no longer states a rate limit");
             }
             Change::Unreadable => {
                 log::warn!(event = "statement_unreadable", target = target, statement = "rate limit", request = request_id; "target's statement cannot be read; what it stated before stays in force");
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -1,11 +1,13 @@
-//! Communication between VMs: membership gossip, crash counts and replicated rows.
+//! Communication between VMs: membership gossip, crash counts, statements of targets and replicated rows.
 
 mod crash;
 mod prober;
 mod records;
 mod socket;
+mod statements;
 
 pub(crate) use crash::detect_crash;
 pub(crate) use prober::{broadcast_ping, probe_members, send_ping};
 pub(crate) use records::serve_records;
 pub(crate) use socket::{Socket, receive_datagrams};
+pub(crate) use statements::broadcast_statements;
--- a/crates/gateway/src/peers/prober.rs
+++ b/crates/gateway/src/peers/prober.rs
@@ -1,7 +1,10 @@
 //! The failure detector: probes the other VMs, directly and through peers.
 
 use {
-    super::socket::{Socket, build_datagram, peer_address},
+    super::{
+        socket::{Socket, build_datagram, peer_address},
+        statements::send_statements,
+    },
     crate::Node,
     std::{net::SocketAddr, rc::Rc, time::Duration},
     wire::{Datagram, Member, Signal, Status},
@@ -41,6 +44,7 @@
     let Some(to) = peer_address(&member) else {
         return;
     };
+    send_statements(&node, &socket, to).await;
     if ping(&node, &socket, to, PING_TIMEOUT).await {
         return;
     }
--- a/crates/gateway/src/peers/socket.rs
+++ b/crates/gateway/src/peers/socket.rs
@@ -1,7 +1,9 @@
 //! Gossip datagrams between VMs.
 
 use {
+    super::statements::merge_statements,
     crate::Node,
+    serde::Serialize,
     std::{net::SocketAddr, rc::Rc},
     tokio::net::UdpSocket,
     wire::{Crash, Datagram, Map, Member, Signal},
@@ -55,7 +57,7 @@
     }
 
     /// Sends a datagram. Errors are only logged, since the network may lose datagrams anyway.
-    pub(crate) async fn send(&self, to: SocketAddr, datagram: &Datagram) {
+    pub(crate) async fn send(&self, to: SocketAddr, datagram: &impl Serialize) {
         let result = match wire::encode(datagram) {
             Ok(bytes) => self.udp.send_to(&bytes, to).await.map(drop),
             Err(error) => Err(std::io::Error::other(error)),
@@ -110,6 +112,10 @@
         match wire::decode::<Datagram>(&buffer[..length]) {
             Ok(datagram) => handle_datagram(&node, &socket, datagram, from).await,
             Err(error) => {
+                if let Ok(statements) = wire::decode(&buffer[..length]) {
+                    merge_statements(&node, &statements);
+                    continue;
+                }
                 log::warn!(event = "datagram_unreadable", from:% = from, reason:% = error; "datagram cannot be decoded and is dropped");
             }
         }
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -603,6 +603,27 @@
         value.parse()
     }
 }
+#[doc = "What a target stated about itself, passed on by a VM."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, Eq, Hash, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Statement {
+    #[doc = "Time since the target made the statement, in milliseconds."]
+    pub age_ms: u64,
+    #[doc = "Requests per 1,000 seconds that the target accepts from all VMs together; null if it no longer states a limit."]
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub limit_per_1000_s: ::std::option::Option<u64>,
+    #[doc = "Start of the target's process, in milliseconds since the Unix epoch."]
+    pub started_at_ms: u64,
+    pub target: ::std::string::String,
+}
+#[doc = "Datagram with statements of targets. It is sent only while there are some, beside the datagrams of the failure detector."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, Eq, Hash, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Statements {
+    #[doc = "Name of the VM that sends it."]
+    pub from: ::std::string::String,
+    pub statements: ::std::vec::Vec<Statement>,
+}
 #[doc = "Liveness of a member as another VM sees it."]
 #[derive(
     :: serde :: Deserialize,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -18,7 +18,7 @@
 pub use generated::{
     Batch, Change, Claim, Crash, Datagram, Decision, Document, Entry, Forward, Gossip, Header,
     Kind, Lookup, Mark, Member, Outcome, Phase, Poison, Pool, Proposal, Reason, Record, Refusal,
-    Reply, Signal, Status, Verdict,
+    Reply, Signal, Statement, Statements, Status, Verdict,
 };
 pub use revision::{InvalidRevision, Revision};
 
