Read a target's request for rest and its word that it leaves, and log both

The record of BUDGET cannot be told from a full target in the log: a shed is a shed. Several unreadable statements of a response give one line. Nothing decides on them yet.

--- a/crates/balance/src/feedback/report.rs
+++ b/crates/balance/src/feedback/report.rs
@@ -1,6 +1,6 @@
 //! The statements of one response.
 
-use crate::LoadReport;
+use {crate::LoadReport, std::time::Duration};
 
 /// A statement that a response may make.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -21,4 +21,8 @@
     pub load: Option<LoadReport>,
     /// Requests per second that the target accepts from all VMs together; finite and not negative.
     pub rate_limit: Field<f64>,
+    /// Time for which the target wants no requests from the VM that it rejected.
+    pub rest: Field<Duration>,
+    /// Whether the target is about to stop and accepts no new requests.
+    pub leaving: Field<bool>,
 }
--- a/crates/balance/src/feedback/statements.rs
+++ b/crates/balance/src/feedback/statements.rs
@@ -43,8 +43,6 @@
 pub enum Change {
     /// A limit of so many requests per second came into force, in place of another or of none.
     Limited(f64),
-    /// The target stated a limit that cannot be read; what was in force before still is.
-    Unreadable,
     /// The target no longer states a limit.
     Unlimited,
 }
@@ -73,6 +71,7 @@
     /// Until when the VM that sends to the target has no room for requests of this one.
     full_until: Duration,
     reported_at: Option<Duration>,
+    unreadable_reported_at: Option<Duration>,
 }
 
 /// The statements of all targets. Those of a target are forgotten when it restarts.
@@ -103,6 +102,12 @@
         entry.report(change, now)
     }
 
+    /// Returns whether an unreadable statement of a target may be reported now: once in a while.
+    pub fn may_report_unreadable(&mut self, target: &str, now: Duration) -> bool {
+        let entry = self.by_target.entry(target.to_owned()).or_default();
+        may_report(&mut entry.unreadable_reported_at, now)
+    }
+
     /// Takes over what the VM `from` passed on, if it is newer than what is known. Returns the
     /// change, unless one of this target was returned shortly before.
     pub fn merge(&mut self, gossip: &Gossip<'_>, from: &str, now: Duration) -> Option<Change> {
@@ -211,12 +216,7 @@
 impl Entry {
     /// Returns the change, unless one was returned shortly before.
     fn report(&mut self, change: Change, now: Duration) -> Option<Change> {
-        let is_recent = |at: Duration| now.saturating_sub(at) < REPORT_INTERVAL;
-        if self.reported_at.is_some_and(is_recent) {
-            return None;
-        }
-        self.reported_at = Some(now);
-        Some(change)
+        may_report(&mut self.reported_at, now).then_some(change)
     }
 
     /// Returns whether other VMs may not know the statement: a limit, or one that ended recently.
@@ -259,7 +259,7 @@
 
     fn apply(&mut self, stated: Field<f64>, sent_at: Duration, now: Duration) -> Option<Change> {
         match stated {
-            Field::Unreadable => Some(Change::Unreadable),
+            Field::Unreadable => None,
             Field::Stated(limit_per_s) => self.set_limit(limit_per_s, now, Source::Target, now),
             Field::Absent => {
                 let known = self.rate_limit.as_ref()?;
@@ -272,3 +272,13 @@
         }
     }
 }
+
+/// Returns whether the last report was made [`REPORT_INTERVAL`] ago, and notes a new one if so.
+fn may_report(reported_at: &mut Option<Duration>, now: Duration) -> bool {
+    let is_recent = |at: Duration| now.saturating_sub(at) < REPORT_INTERVAL;
+    let may_report = !reported_at.is_some_and(is_recent);
+    if may_report {
+        *reported_at = Some(now);
+    }
+    may_report
+}
--- a/crates/gateway/src/http_client/send.rs
+++ b/crates/gateway/src/http_client/send.rs
@@ -6,6 +6,7 @@
         client::CheckIn, connection::Connection, response_body::is_streamed,
     },
     crate::HeaderNames,
+    balance::Field,
     bytes::Bytes,
     http_body_util::Full,
     hyper::{
@@ -222,7 +223,11 @@
         body,
         ..
     } = raw;
-    let feedback = (header_names.feedback.decode)(&headers);
+    let mut feedback = (header_names.feedback.decode)(&headers);
+    // With another status the header does not concern this VM.
+    if status != StatusCode::SERVICE_UNAVAILABLE {
+        feedback.rest = Field::Absent;
+    }
     let echoed_id = headers.get(&header_names.request_id);
     if echoed_id.is_some_and(|echoed_id| *echoed_id != request.request_id) {
         return Outcome::Indeterminate(ResponseFault::RequestIdMismatch);
--- a/crates/gateway/src/node/statements.rs
+++ b/crates/gateway/src/node/statements.rs
@@ -1,7 +1,7 @@
 //! Takes over what targets state about themselves.
 
 use {
-    super::Node,
+    super::{Node, state::duration_ms},
     crate::peers::broadcast_statements,
     balance::{Change, Feedback, Field, Gossip},
     std::{rc::Rc, time::Duration},
@@ -32,9 +32,13 @@
         request_id: &str,
         is_direct: bool,
     ) {
-        if feedback.rate_limit == Field::Unreadable {
-            metrics::counter!("cicadalift_statements_unreadable_total", "statement" => "rate limit")
-                .increment(1);
+        self.report_unreadable(target, feedback, request_id);
+        if let Field::Stated(rest) = feedback.rest {
+            metrics::counter!("cicadalift_rests_total").increment(1);
+            log::info!(event = "target_rests", target = target, rest_ms = duration_ms(rest), request = request_id, direct = is_direct; "target rejected a request and wants none for a while");
+        }
+        if feedback.leaving == Field::Stated(true) {
+            log::info!(event = "target_leaving", target = target, request = request_id, direct = is_direct; "target states that it is about to stop");
         }
         let change = {
             let mut balancer = self.balancer.borrow_mut();
@@ -61,6 +65,28 @@
         }
     }
 
+    /// Counts the statements of a response that cannot be read, and logs them unless some of the
+    /// target were logged shortly before.
+    fn report_unreadable(&self, target: &str, feedback: &Feedback, request_id: &str) {
+        let fields = [
+            ("rate limit", feedback.rate_limit == Field::Unreadable),
+            ("rest", feedback.rest == Field::Unreadable),
+            ("leaving", feedback.leaving == Field::Unreadable),
+        ];
+        let unreadable = fields.into_iter().filter(|(_, unreadable)| *unreadable);
+        let unreadable: Vec<&'static str> = unreadable.map(|(statement, _)| statement).collect();
+        for statement in &unreadable {
+            metrics::counter!("cicadalift_statements_unreadable_total", "statement" => *statement)
+                .increment(1);
+        }
+        let now = self.now();
+        let mut balancer = self.balancer.borrow_mut();
+        if !unreadable.is_empty() && balancer.statements.may_report_unreadable(target, now) {
+            let statements = unreadable.join(", ");
+            log::warn!(event = "statement_unreadable", target = target, statements = statements, request = request_id; "target's statements cannot be read; what it stated before stays in force");
+        }
+    }
+
     fn report_change(&self, target: &str, change: Change, request_id: &str, from: &str) {
         let limited_count = self.balancer.borrow().statements.limited_count();
         metrics::gauge!("cicadalift_limited_targets").set(f64::from(limited_count));
@@ -71,9 +97,6 @@
             Change::Unlimited => {
                 log::info!(event = "target_unlimited", target = target, request = request_id, heard_from = from; "target no longer states a rate limit");
             }
-            Change::Unreadable => {
-                log::warn!(event = "statement_unreadable", target = target, statement = "rate limit", request = request_id; "target's statement cannot be read; what it stated before stays in force");
-            }
         }
     }
 }
