Send nothing to a target that asks for rest until the rest is over

Callers saw lookups refused after two targets had rejected them, one after the other (10 to 19 a second in the record). Cause: Retry-After of a target's 503 was not read. A rejected request frees its slot at once, so that the target looked idle to the VM that owns its queue; only the failure rate spoke against it, and not where other targets were busy (R1). R2, that others pass the VM that was told, is ruled out: the owner sent all. R3: there was no pause at all.

A VM keeps the rest that it was told, also through a relay or by the refusal of the queue's owner. A target at rest is held back like one whose limit leaves no room: it does not count among an object's two, and where all rest the request is refused at once, with the time until a rest ends. A rejection with a rest no longer counts as a failure, which kept the target out for seconds more.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -201,10 +201,15 @@
 
     /// Records that a target rejected a request without running it.
     pub fn record_rejection(&mut self, target: &str, report: Option<LoadReport>, now: Duration) {
-        let stats = self.stats_mut(target);
-        stats.record_outcome(true, now);
+        self.stats_mut(target).record_outcome(true, now);
+        self.record_load(target, report, now);
+    }
+
+    /// Updates the load of a target that rejected a request because it wants to rest. That is no
+    /// failure.
+    pub fn record_load(&mut self, target: &str, report: Option<LoadReport>, now: Duration) {
         if let Some(report) = report {
-            stats.apply_report(report, now);
+            self.stats_mut(target).apply_report(report, now);
         }
     }
 
--- a/crates/balance/src/candidates.rs
+++ b/crates/balance/src/candidates.rs
@@ -62,7 +62,7 @@
         let is_preferred = |eligible: &EligibleTarget<'_>| prefers_remote || !is_remote(eligible);
         let mut candidates =
             self.ranked_candidates(request, &ranked, prefers_remote, is_preferred, now);
-        if !prefers_remote && candidates.iter().all(Candidate::is_rate_limited) {
+        if !prefers_remote && candidates.iter().all(Candidate::is_held_back) {
             let remote = self.ranked_candidates(request, &ranked, prefers_remote, is_remote, now);
             candidates.extend(remote);
         }
@@ -70,8 +70,8 @@
     }
 
     /// Returns the first targets of the preference order for which `is_included` holds, until as
-    /// many as an object may go to accept requests now. Targets whose rate limit leaves no room do
-    /// not count.
+    /// many as an object may go to accept requests now. Targets that rest, or whose rate limit leaves
+    /// no room, do not count.
     fn ranked_candidates<'a>(
         &self,
         request: &PendingRequest<'_>,
@@ -92,7 +92,7 @@
             let is_remote = eligible.locality == Locality::OtherRegion;
             let in_preferred_region = prefers_remote == is_remote;
             let candidate = self.candidate(request, eligible, in_preferred_region, rank, now);
-            accepting_count += usize::from(!candidate.is_rate_limited());
+            accepting_count += usize::from(!candidate.is_held_back());
             candidates.push(candidate);
         }
         candidates
@@ -149,7 +149,7 @@
         let is_first_choice = rank == 0 && in_preferred_region && !eligible.is_fallback;
         let queued = to_f64(self.queues.count_ahead(&target.id, request.queue_key));
         let affinity = self.affinity(request, &target.id, is_first_choice);
-        let limit_wait = if eligible.has_remote_queue {
+        let hold = if eligible.has_remote_queue {
             self.statements.full_for(&target.id, now)
         } else {
             self.statements.time_until_room(&target.id, queued, now)
@@ -165,7 +165,7 @@
             id: &target.id,
             limit: max_requests - reserved,
             slots,
-            limit_wait_s: limit_wait.as_secs_f64(),
+            hold_s: hold.as_secs_f64(),
             has_remote_queue: eligible.has_remote_queue,
             requests_ahead: stats.map_or(0.0, |stats| stats.in_flight(now)) + queued,
             locality: eligible.locality,
--- a/crates/balance/src/feedback/report.rs
+++ b/crates/balance/src/feedback/report.rs
@@ -26,3 +26,12 @@
     /// Whether the target is about to stop and accepts no new requests.
     pub leaving: Field<bool>,
 }
+
+impl Feedback {
+    /// Returns whether the target rejected the request and wants none for a while. It is neither
+    /// full nor failing then.
+    #[must_use]
+    pub fn asks_for_rest(&self) -> bool {
+        matches!(self.rest, Field::Stated(rest) if !rest.is_zero())
+    }
+}
--- a/crates/balance/src/feedback/statements.rs
+++ b/crates/balance/src/feedback/statements.rs
@@ -70,6 +70,8 @@
     bucket: Option<TokenBucket>,
     /// Until when the VM that sends to the target has no room for requests of this one.
     full_until: Duration,
+    /// Until when the target wants no requests from this VM.
+    rest_until: Duration,
     reported_at: Option<Duration>,
     unreadable_reported_at: Option<Duration>,
 }
@@ -102,6 +104,29 @@
         entry.report(change, now)
     }
 
+    /// Records that a target wants no requests from this VM for a time. Returns whether it wanted
+    /// some before.
+    pub fn record_rest(&mut self, target: &str, rest: Duration, now: Duration) -> bool {
+        let entry = self.by_target.entry(target.to_owned()).or_default();
+        let is_new = entry.rest_until <= now && !rest.is_zero();
+        entry.rest_until = entry.rest_until.max(now.saturating_add(rest));
+        is_new
+    }
+
+    /// Returns for how long a target still wants no requests from this VM.
+    #[must_use]
+    pub fn rest_left(&self, target: &str, now: Duration) -> Duration {
+        let entry = self.by_target.get(target);
+        entry.map_or(Duration::ZERO, |entry| entry.rest_until.saturating_sub(now))
+    }
+
+    /// Returns whether a target states a rate limit, or wants no requests from this VM now.
+    #[must_use]
+    pub fn is_restricted(&self, target: &str, now: Duration) -> bool {
+        let entry = self.by_target.get(target);
+        entry.is_some_and(|entry| entry.rate_limit.is_some() || now < entry.rest_until)
+    }
+
     /// Returns whether an unreadable statement of a target may be reported now: once in a while.
     pub fn may_report_unreadable(&mut self, target: &str, now: Duration) -> bool {
         let entry = self.by_target.entry(target.to_owned()).or_default();
@@ -153,21 +178,30 @@
 
     /// Returns what a VM that hears of this target from this one has to know.
     #[must_use]
-    pub fn feedback(&self, target: &str) -> Feedback {
+    pub fn feedback(&self, target: &str, now: Duration) -> Feedback {
         let limit = self.rate_limit(target);
+        let rest = self.rest_left(target, now);
         Feedback {
+            rest: if rest.is_zero() {
+                Field::Absent
+            } else {
+                Field::Stated(rest)
+            },
             rate_limit: limit.map_or(Field::Absent, |limit| Field::Stated(limit.requests_per_s)),
             ..Feedback::default()
         }
     }
 
     /// Returns the time until this VM may send a request to the target that `ahead` others
-    /// precede; zero for a target without a limit.
+    /// precede; zero for a target that neither has a limit nor rests.
     #[must_use]
     pub fn time_until_room(&self, target: &str, ahead: f64, now: Duration) -> Duration {
-        let entry = self.by_target.get(target);
-        let bucket = entry.and_then(|entry| entry.bucket.as_ref());
-        bucket.map_or(Duration::ZERO, |bucket| bucket.time_until_room(ahead, now))
+        let Some(entry) = self.by_target.get(target) else {
+            return Duration::ZERO;
+        };
+        let bucket = entry.bucket.as_ref();
+        let pace = bucket.map_or(Duration::ZERO, |bucket| bucket.time_until_room(ahead, now));
+        pace.max(entry.rest_until.saturating_sub(now))
     }
 
     /// Counts a request that this VM sends to the target itself.
@@ -186,12 +220,15 @@
         }
     }
 
-    /// Returns the time until the VM that sends to a limited target is expected to have room; zero
-    /// if it is not known to have none.
+    /// Returns the time until another VM is expected to have room for requests to a target that has
+    /// a limit or rests; zero if it is not known to have none.
     #[must_use]
     pub fn full_for(&self, target: &str, now: Duration) -> Duration {
-        let entry = self.by_target.get(target);
-        entry.map_or(Duration::ZERO, |entry| entry.full_until.saturating_sub(now))
+        let Some(entry) = self.by_target.get(target) else {
+            return Duration::ZERO;
+        };
+        let until = entry.full_until.max(entry.rest_until);
+        until.saturating_sub(now)
     }
 
     /// Returns the number of targets with a rate limit.
--- a/crates/balance/src/selection.rs
+++ b/crates/balance/src/selection.rs
@@ -65,9 +65,9 @@
     pub limit: f64,
     /// Requests that the target runs concurrently.
     pub slots: f64,
-    /// Time until the rate limit of the target leaves room for the request, in seconds; zero
-    /// without a limit.
-    pub limit_wait_s: f64,
+    /// Time until the target's rate limit leaves room for the request and the target does not rest,
+    /// in seconds; zero without either.
+    pub hold_s: f64,
     /// Whether the target's queue is at another VM, so that the request cannot wait for it here.
     pub has_remote_queue: bool,
     /// Requests in flight at the target, plus those that precede this one in its queue.
@@ -92,9 +92,9 @@
 }
 
 impl Candidate<'_> {
-    /// Returns whether the target's rate limit leaves no room for the request now.
-    pub(crate) fn is_rate_limited(&self) -> bool {
-        self.limit_wait_s > 0.0
+    /// Returns whether the target rests, or its rate limit leaves no room for the request now.
+    pub(crate) fn is_held_back(&self) -> bool {
+        self.hold_s > 0.0
     }
 }
 
@@ -149,7 +149,7 @@
     let mut shortest_wait_s: Option<f64> = None;
     for (_, index) in by_cost {
         let candidate = &candidates[index];
-        if candidate.requests_ahead < candidate.limit && !candidate.is_rate_limited() {
+        if candidate.requests_ahead < candidate.limit && !candidate.is_held_back() {
             return Selection::Send(index);
         }
         let expected_wait_s = wait_s(timing, candidate);
@@ -158,7 +158,7 @@
             return Selection::Wait(index);
         }
         let slot_wait_s = slot_wait_s(timing, candidate).min(timing.objective_s);
-        let retry_s = slot_wait_s.max(candidate.limit_wait_s);
+        let retry_s = slot_wait_s.max(candidate.hold_s);
         shortest_wait_s = Some(shortest_wait_s.map_or(retry_s, |shortest| shortest.min(retry_s)));
     }
     let retry_after_s = shortest_wait_s.unwrap_or(timing.objective_s).clamp(
@@ -183,7 +183,7 @@
 
 /// Returns the expected time until the candidate starts the request, in seconds.
 fn wait_s(timing: &Timing, candidate: &Candidate<'_>) -> f64 {
-    slot_wait_s(timing, candidate).max(candidate.limit_wait_s)
+    slot_wait_s(timing, candidate).max(candidate.hold_s)
 }
 
 /// Returns the expected time until the candidate has a slot for the request, in seconds.
--- a/crates/balance/tests/limited_targets.rs
+++ b/crates/balance/tests/limited_targets.rs
@@ -159,3 +159,52 @@
     );
     assert_eq!(sent_to(&later), Some("a"));
 }
+
+/// Guards against a target that wants to rest and is asked again, or only once its rejections are
+/// forgotten.
+#[test]
+fn resting_target_gets_nothing_until_its_rest_is_over() {
+    let targets = [target("a", "z")];
+    let eligible: Vec<EligibleTarget<'_>> = targets.iter().map(|t| eligible(t, false)).collect();
+    let mut balancer = Balancer::default();
+    let rest = Duration::from_secs(3);
+
+    let is_new = balancer.statements.record_rest("a", rest, NOW);
+    let at_once = balancer.choose_target(&request("1"), &eligible, NOW);
+    let later = balancer.choose_target(&request("1"), &eligible, NOW + rest);
+
+    assert!(is_new);
+    assert!(
+        matches!(at_once, Decision::Refuse { retry_after } if retry_after == rest),
+        "{at_once:?}"
+    );
+    assert_eq!(sent_to(&later), Some("a"));
+}
+
+/// Guards against a rest that a second rejection, sent earlier, shortens.
+#[test]
+fn longest_rest_counts() {
+    let mut balancer = Balancer::default();
+
+    balancer
+        .statements
+        .record_rest("a", Duration::from_secs(3), NOW);
+    balancer
+        .statements
+        .record_rest("a", Duration::from_secs(1), NOW);
+
+    let left = balancer.statements.rest_left("a", NOW);
+    assert_eq!(left, Duration::from_secs(3));
+}
+
+#[test]
+fn restarted_target_does_not_rest() {
+    let mut balancer = Balancer::default();
+    balancer
+        .statements
+        .record_rest("a", Duration::from_secs(3), NOW);
+
+    balancer.reset_target("a");
+
+    assert_eq!(balancer.statements.rest_left("a", NOW), Duration::ZERO);
+}
--- a/crates/gateway/src/frontend/attempt.rs
+++ b/crates/gateway/src/frontend/attempt.rs
@@ -9,7 +9,7 @@
         },
         node::{AVOID_TIME, QueueOwner, RequestContext, Reservation},
     },
-    balance::{Affinity, Dispatch, Field},
+    balance::{Affinity, Dispatch, Feedback},
     std::{net::SocketAddr, rc::Rc, time::Duration},
 };
 
@@ -48,17 +48,8 @@
                 feedback,
             } => {
                 let dispatch = &reservation.dispatch;
-                // That VM may not know yet what the target stated, so only a limit that it knows
-                // counts.
-                if matches!(feedback.rate_limit, Field::Stated(_)) {
-                    node.record_statements(
-                        &dispatch.target,
-                        &feedback,
-                        dispatch.sent_at,
-                        &context.id,
-                        false,
-                    );
-                }
+                let (target, sent_at) = (&dispatch.target, dispatch.sent_at);
+                node.record_owner_statements(target, &feedback, sent_at, &context.id);
                 node.record_full(&dispatch.target, retry_after);
                 return Err(retry_after);
             }
@@ -125,8 +116,7 @@
             ..
         } => record_failure(node, context, reservation, now),
         Outcome::NotExecuted { feedback, .. } => {
-            let mut balancer = node.balancer.borrow_mut();
-            balancer.record_rejection(&dispatch.target, feedback.and_then(|f| f.load), now);
+            record_rejection(node, &dispatch.target, feedback.as_ref(), now);
         }
         Outcome::Indeterminate(fault) => {
             let mut balancer = node.balancer.borrow_mut();
@@ -256,10 +246,7 @@
             feedback,
             ..
         } => {
-            let report = feedback.and_then(|feedback| feedback.load);
-            node.balancer
-                .borrow_mut()
-                .record_rejection(&dispatch.target, report, now);
+            record_rejection(node, &dispatch.target, feedback.as_ref(), now);
         }
         Outcome::NotExecuted {
             reason: NotExecutedReason::Unsent,
@@ -283,6 +270,18 @@
     }
 }
 
+/// Updates the statistics of a target that rejected a request. One that wants to rest is not
+/// failing.
+fn record_rejection(node: &Node, target: &str, feedback: Option<&Feedback>, now: Duration) {
+    let report = feedback.and_then(|feedback| feedback.load);
+    let mut balancer = node.balancer.borrow_mut();
+    if feedback.is_some_and(Feedback::asks_for_rest) {
+        balancer.record_load(target, report, now);
+    } else {
+        balancer.record_rejection(target, report, now);
+    }
+}
+
 /// Closes the idle connections to a target and counts a failure, which may eject the target.
 fn record_failure(
     node: &Rc<Node>,
--- a/crates/gateway/src/frontend/relayed.rs
+++ b/crates/gateway/src/frontend/relayed.rs
@@ -140,7 +140,11 @@
                 &RETRY_AFTER_MS_HEADER,
                 duration_ms(retry_after),
             );
-            let feedback = node.balancer.borrow().statements.feedback(target);
+            let feedback = node
+                .balancer
+                .borrow()
+                .statements
+                .feedback(target, node.now());
             (node.header_names.feedback.encode)(&feedback, response.headers_mut());
             return response;
         }
--- a/crates/gateway/src/node/selection.rs
+++ b/crates/gateway/src/node/selection.rs
@@ -87,9 +87,9 @@
         let preselection = balance::preselect_targets(pending.key(), with_side);
         let mut targets: Vec<EligibleTarget<'a>> =
             preselection.local.targets().filter_map(eligible).collect();
-        let local_count = self.count_unlimited(&targets);
+        let local_count = self.count_unrestricted(&targets, now);
         targets.extend(preselection.remote.targets().filter_map(eligible));
-        let remote_count = self.count_unlimited(&targets) - local_count;
+        let remote_count = self.count_unrestricted(&targets, now) - local_count;
         if preselection.local.suffices(local_count) && preselection.remote.suffices(remote_count) {
             return targets;
         }
@@ -97,12 +97,10 @@
         targets.filter_map(eligible).collect()
     }
 
-    fn count_unlimited(&self, targets: &[EligibleTarget<'_>]) -> usize {
+    fn count_unrestricted(&self, targets: &[EligibleTarget<'_>], now: Duration) -> usize {
         let statements = &self.balancer.borrow().statements;
-        let limits = targets
-            .iter()
-            .map(|eligible| statements.rate_limit(&eligible.target.id));
-        limits.filter(Option::is_none).count()
+        let ids = targets.iter().map(|eligible| &eligible.target.id);
+        ids.filter(|id| !statements.is_restricted(id, now)).count()
     }
 
     /// Returns whether a target is in another region.
--- a/crates/gateway/src/node/statements.rs
+++ b/crates/gateway/src/node/statements.rs
@@ -34,8 +34,7 @@
     ) {
         self.report_unreadable(target, feedback, request_id);
         if let Field::Stated(rest) = feedback.rest {
-            metrics::counter!("cicadalift_rests_total").increment(1);
-            log::info!(event = "target_rests", target = target, rest_ms = duration_ms(rest), request = request_id, direct = is_direct; "target rejected a request and wants none for a while");
+            self.record_rest(target, rest, request_id, is_direct);
         }
         if feedback.leaving == Field::Stated(true) {
             log::info!(event = "target_leaving", target = target, request = request_id, direct = is_direct; "target states that it is about to stop");
@@ -53,6 +52,31 @@
         }
     }
 
+    /// Takes over what the VM that owns a target's queue knows of the target and refused the request
+    /// `request_id` for. That VM may not know yet what the target stated, so only what it knows
+    /// counts.
+    pub(crate) fn record_owner_statements(
+        self: &Rc<Self>,
+        target: &str,
+        feedback: &Feedback,
+        sent_at: Duration,
+        request_id: &str,
+    ) {
+        if let Field::Stated(_) = feedback.rate_limit {
+            self.record_statements(target, feedback, sent_at, request_id, false);
+        } else if let Field::Stated(rest) = feedback.rest {
+            self.record_rest(target, rest, request_id, false);
+        }
+    }
+
+    fn record_rest(&self, target: &str, rest: Duration, request_id: &str, is_direct: bool) {
+        metrics::counter!("cicadalift_rests_total").increment(1);
+        let mut balancer = self.balancer.borrow_mut();
+        if balancer.statements.record_rest(target, rest, self.now()) {
+            log::info!(event = "target_rests", target = target, rest_ms = duration_ms(rest), request = request_id, direct = is_direct; "target rejected a request and wants none for a while");
+        }
+    }
+
     /// Takes over what the VM `from` passed on of a target's statements.
     pub(crate) fn merge_statement(&self, gossip: &Gossip<'_>, from: &str) {
         let now = self.now();
