Stop sending to a target that states that it leaves

The target was used until its entry in the store said so, which some never do: 107 requests in four seconds, later than two seconds after its first Server-Leaving. Cause: the header was not read; the catalog knew leaving targets by their rows alone.

Such a target gets no new requests from a VM that was told, that heard of it with a relayed response or a refusal of the queue's owner, or by datagram. It is used again as a new process, or when a row that says ready arrives five seconds after its last such statement: an earlier row may have been written before it decided to leave.

A VM that restarted still sent it one request (seen once), as the statements reached it after its first caller. VMs now tell one that has just started at once, and what it hears of a target whose row it has not read yet waits for the row. This serves limits too.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -14,6 +14,10 @@
 /// because some may have cooled down without reporting it.
 const EVACUATION_WARMUP: Duration = Duration::from_secs(2);
 
+/// A row of a target that stated that it leaves says that it stays only if it arrives this much
+/// later: the target may have written an earlier one before.
+const STAY_DELAY: Duration = Duration::from_secs(5);
+
 #[derive(Debug, Clone)]
 struct Entry {
     revision: Revision,
@@ -24,9 +28,25 @@
     cold_until: Duration,
     /// When a pending deletion takes effect.
     delete_at: Option<Duration>,
+    /// When the row was applied.
+    applied_at: Duration,
+    /// When the target last stated that it leaves.
+    leaving_at: Option<Duration>,
 }
 
 impl Entry {
+    /// Returns the target if it may receive new requests, its zone aside.
+    fn usable_target(&self) -> Option<&Target> {
+        let is_usable = |t: &&Target| t.state == TargetState::Ready && !self.is_leaving();
+        self.target.as_ref().filter(is_usable)
+    }
+
+    /// Returns whether the target stated that it leaves, and no later row says that it stays.
+    fn is_leaving(&self) -> bool {
+        let stays = |at: Duration| self.applied_at >= at + STAY_DELAY;
+        self.leaving_at.is_some_and(|at| !stays(at))
+    }
+
     /// Returns whether a row of another era holds an older state of the target than the one that
     /// is known: the store lost the newer one, and the target writes it again if it lives.
     ///
@@ -78,6 +98,8 @@
             }
             _ => reported_cold_until,
         };
+        let leaving_at = known.filter(|_| is_same_process);
+        let leaving_at = leaving_at.and_then(|entry| entry.leaving_at);
         let id = target.id.clone();
         let entry = Entry {
             revision,
@@ -85,6 +107,8 @@
             target: Some(target),
             cold_until,
             delete_at: None,
+            applied_at: now,
+            leaving_at,
         };
         self.insert(id, entry);
         true
@@ -118,6 +142,8 @@
                 last_report: known.and_then(|entry| entry.last_report),
                 cold_until: now,
                 delete_at: None,
+                applied_at: now,
+                leaving_at: None,
             },
         };
         self.insert(id.to_owned(), entry);
@@ -182,24 +208,40 @@
         }
     }
 
+    /// Records that a target stated at `stated_at` that it leaves, so that it receives no new
+    /// requests. Returns whether it received some before.
+    pub fn mark_leaving(&mut self, id: &str, stated_at: Duration) -> bool {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return false;
+        };
+        let was_leaving = entry.is_leaving();
+        entry.leaving_at = entry.leaving_at.max(Some(stated_at));
+        !was_leaving && entry.is_leaving()
+    }
+
+    /// Returns whether the target stated that it leaves.
+    #[must_use]
+    pub fn is_leaving(&self, id: &str) -> bool {
+        self.entries.get(id).is_some_and(Entry::is_leaving)
+    }
+
+    /// Returns the targets that stated that they leave, each with when it did so last.
+    pub fn leaving_targets(&self) -> impl Iterator<Item = (&Target, Duration)> {
+        let leaving = self.entries.values().filter(|entry| entry.is_leaving());
+        leaving.filter_map(|entry| Some((entry.target.as_ref()?, entry.leaving_at?)))
+    }
+
     /// Returns the targets of a service that may receive new requests, in no particular order.
     pub fn usable_targets<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Target> {
-        let targets = self
-            .entries
-            .values()
-            .filter_map(|entry| entry.target.as_ref());
-        targets.filter(move |target| {
-            target.state == TargetState::Ready
-                && target.service == service
-                && !self.is_evacuated(&target.zone)
-        })
+        let targets = self.entries.values().filter_map(Entry::usable_target);
+        targets.filter(move |target| target.service == service && !self.is_evacuated(&target.zone))
     }
 
     /// Returns whether the target exists and may receive new requests.
     #[must_use]
     pub fn is_usable(&self, id: &str) -> bool {
-        let target = self.get(id);
-        target.is_some_and(|t| t.state == TargetState::Ready && !self.is_evacuated(&t.zone))
+        let target = self.entries.get(id).and_then(Entry::usable_target);
+        target.is_some_and(|target| !self.is_evacuated(&target.zone))
     }
 
     /// Returns the target with the given identifier.
--- a/crates/gateway/src/frontend/attempt.rs
+++ b/crates/gateway/src/frontend/attempt.rs
@@ -53,7 +53,11 @@
                 node.record_full(&dispatch.target, retry_after);
                 return Err(retry_after);
             }
-            RelayOutcome::NotServed => {}
+            RelayOutcome::NotServed { feedback } => {
+                let dispatch = &reservation.dispatch;
+                let (target, sent_at) = (&dispatch.target, dispatch.sent_at);
+                node.record_owner_statements(target, &feedback, sent_at, &context.id);
+            }
             RelayOutcome::Unreachable => {
                 log::warn!(event = "keeper_unreachable", vm = queue_owner.name.as_str(), target = reservation.dispatch.target.as_str(), request = context.id.as_str(); "VM that owns the target's queue is unreachable; sending to the target directly, unless its rate is limited");
                 node.avoid_queue_owner(queue_owner, node.now());
@@ -64,8 +68,7 @@
                 return Ok(outcome);
             }
         }
-        // Only the VM that keeps the limit for all may send to the target.
-        if node.is_rate_limited(&reservation.dispatch.target) {
+        if !node.may_send_past_owner(&reservation.dispatch.target) {
             return Err(AVOID_TIME);
         }
     }
--- a/crates/gateway/src/frontend/relayed.rs
+++ b/crates/gateway/src/frontend/relayed.rs
@@ -44,9 +44,15 @@
 ) -> HttpResponse {
     let in_flight = InFlightGuard::new(&node);
     let (mut parts, body) = request.into_parts();
+    let target = parts.headers.get(TARGET_HEADER).cloned();
     let Some((context, head)) = parse_request(&node, &mut parts) else {
         log::info!(event = "handed_back", reason = "unserved", version = node.route_table().version(); "relayed request not accepted: this VM does not serve its target");
-        return not_served_response("not served here");
+        let mut response = not_served_response("not served here");
+        if let Some(target) = target.as_ref().and_then(|target| target.to_str().ok()) {
+            let feedback = node.feedback(target);
+            (node.header_names.feedback.encode)(&feedback, response.headers_mut());
+        }
+        return response;
     };
     let max_bytes = node.route_table().limits().max_body_bytes;
     let Ok(body) = body::read(&node, body, max_bytes, context.deadline).await else {
--- a/crates/gateway/src/http_client/relay.rs
+++ b/crates/gateway/src/http_client/relay.rs
@@ -58,7 +58,10 @@
         feedback: Feedback,
     },
     /// The VM did not accept the request.
-    NotServed,
+    NotServed {
+        /// What the VM knows of the target's statements.
+        feedback: Feedback,
+    },
     /// The VM cannot be reached.
     Unreachable,
     /// The VM returned no response, so the target may have run the request.
@@ -125,7 +128,11 @@
                 feedback: (header_names.feedback.decode)(&raw.headers),
             };
         }
-        NOT_SERVED => return RelayOutcome::NotServed,
+        NOT_SERVED => {
+            return RelayOutcome::NotServed {
+                feedback: (header_names.feedback.decode)(&raw.headers),
+            };
+        }
         ANSWERED => classify_response(header_names, request, raw),
         TIMED_OUT => Outcome::TimedOut,
         text => match NotExecutedReason::parse(text) {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -71,6 +71,9 @@
             "target {} service {} zone {} {:?} cold {is_cold} ejected {is_ejected}",
             target.id, target.service, target.zone, target.state
         );
+        if catalog.is_leaving(&target.id) {
+            let _ = writeln!(out, "target {} leaves by its own word", target.id);
+        }
         let rest = balancer.statements.rest_left(&target.id, now);
         if !rest.is_zero() {
             let _ = writeln!(out, "target {} rests for {rest:?} more", target.id);
--- a/crates/gateway/src/node/changes.rs
+++ b/crates/gateway/src/node/changes.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{Node, state::duration_ms},
+    crate::peers::merge_pending_statements,
     catalog::{Target, TargetState},
     route::{RouteConfiguration, RouteTable, Warning},
     std::{rc::Rc, time::Duration},
@@ -55,6 +56,7 @@
             self.client.close_idle(address);
         }
         log::info!(event = "target_known", target = id.as_str(), row:% = row_revision, draining = is_draining, cold_ms = cold_ms, born_ms = started_at_ms; "target added or updated");
+        merge_pending_statements(self, &id);
     }
 
     /// Removes a target whose row was deleted or has become invalid.
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         Bounds, Clock, HeaderNames, Registration, Settings, Store, StoreError, http_client::Client,
+        peers::HeardStatement,
     },
     balance::{Balancer, RetryBudget},
     catalog::{Catalog, EraTracker, RecordReplica},
@@ -50,6 +51,8 @@
     pub(crate) quarantine: RefCell<Quarantine>,
     /// Crash counts to gossip, each with the number of times that it was sent.
     pub(crate) crash_reports: RefCell<Vec<(wire::Crash, u32)>>,
+    /// Statements of targets whose rows are not known yet.
+    pub(crate) pending_statements: RefCell<Vec<HeardStatement>>,
     /// Wakes waiting requests when a request at a target completes.
     pub(crate) capacity_freed: Notify,
     /// Sequence number of the next request, for the order of the queues.
@@ -114,6 +117,7 @@
             retry_budgets: RefCell::default(),
             quarantine: RefCell::default(),
             crash_reports: RefCell::default(),
+            pending_statements: RefCell::default(),
             capacity_freed: Notify::new(),
             next_sequence: Cell::new(0),
             in_flight: Cell::new(0),
--- a/crates/gateway/src/node/statements.rs
+++ b/crates/gateway/src/node/statements.rs
@@ -14,6 +14,30 @@
         balancer.statements.rate_limit(target).is_some()
     }
 
+    /// Returns whether this VM may send to a target itself although another one owns its queue and
+    /// cannot be used. It may not if that VM keeps the target's limit for all, or if the target
+    /// leaves or rests.
+    pub(crate) fn may_send_past_owner(&self, target: &str) -> bool {
+        let is_usable = self.catalog.borrow().is_usable(target);
+        let balancer = self.balancer.borrow();
+        is_usable && !balancer.statements.is_restricted(target, self.now())
+    }
+
+    /// Returns what a VM that relays requests for a target to this one has to know.
+    pub(crate) fn feedback(&self, target: &str) -> Feedback {
+        let is_leaving = self.catalog.borrow().is_leaving(target);
+        let balancer = self.balancer.borrow();
+        let feedback = balancer.statements.feedback(target, self.now());
+        Feedback {
+            leaving: if is_leaving {
+                Field::Stated(true)
+            } else {
+                Field::Absent
+            },
+            ..feedback
+        }
+    }
+
     /// Records that the VM through which requests go to a target has no room for `retry_after`.
     pub(crate) fn record_full(&self, target: &str, retry_after: Duration) {
         let until = self.now().saturating_add(retry_after);
@@ -36,9 +60,8 @@
         if let Field::Stated(rest) = feedback.rest {
             self.record_rest(target, rest, request_id, is_direct);
         }
-        if feedback.leaving == Field::Stated(true) {
-            log::info!(event = "target_leaving", target = target, request = request_id, direct = is_direct; "target states that it is about to stop");
-        }
+        let is_newly_leaving = feedback.leaving == Field::Stated(true)
+            && self.mark_leaving(target, self.now(), request_id, "");
         let change = {
             let mut balancer = self.balancer.borrow_mut();
             let statements = &mut balancer.statements;
@@ -46,9 +69,9 @@
         };
         if let Some(change) = change {
             self.report_change(target, change, request_id, "");
-            if is_direct {
-                broadcast_statements(self);
-            }
+        }
+        if is_direct && (is_newly_leaving || change.is_some()) {
+            broadcast_statements(self);
         }
     }
 
@@ -62,6 +85,9 @@
         sent_at: Duration,
         request_id: &str,
     ) {
+        if feedback.leaving == Field::Stated(true) {
+            self.mark_leaving(target, self.now(), request_id, "");
+        }
         if let Field::Stated(_) = feedback.rate_limit {
             self.record_statements(target, feedback, sent_at, request_id, false);
         } else if let Field::Stated(rest) = feedback.rest {
@@ -69,6 +95,22 @@
         }
     }
 
+    /// Stops sending new requests to a target that stated that it leaves. Returns whether it received
+    /// some before.
+    pub(crate) fn mark_leaving(
+        &self,
+        target: &str,
+        stated_at: Duration,
+        request_id: &str,
+        from: &str,
+    ) -> bool {
+        let is_newly_leaving = self.catalog.borrow_mut().mark_leaving(target, stated_at);
+        if is_newly_leaving {
+            log::info!(event = "target_leaving", target = target, request = request_id, heard_from = from; "target states that it is about to stop; it receives no new requests");
+        }
+        is_newly_leaving
+    }
+
     fn record_rest(&self, target: &str, rest: Duration, request_id: &str, is_direct: bool) {
         metrics::counter!("cicadalift_rests_total").increment(1);
         let mut balancer = self.balancer.borrow_mut();
--- a/crates/gateway/src/peers/socket.rs
+++ b/crates/gateway/src/peers/socket.rs
@@ -1,7 +1,7 @@
 //! Gossip datagrams between VMs.
 
 use {
-    super::statements::merge_statements,
+    super::statements::{merge_statements, send_statements},
     crate::Node,
     serde::Serialize,
     std::{net::SocketAddr, rc::Rc},
@@ -113,7 +113,7 @@
             Ok(datagram) => handle_datagram(&node, &socket, datagram, from).await,
             Err(error) => {
                 if let Ok(statements) = wire::decode(&buffer[..length]) {
-                    merge_statements(&node, &statements);
+                    merge_statements(&node, statements);
                     continue;
                 }
                 log::warn!(event = "datagram_unreadable", from:% = from, reason:% = error; "datagram cannot be decoded and is dropped");
@@ -128,7 +128,10 @@
     datagram: Datagram,
     from: SocketAddr,
 ) {
-    merge_gossip(node, &datagram);
+    if merge_gossip(node, &datagram) {
+        // A VM that has just started knows no statements of targets yet.
+        send_statements(node, socket, from).await;
+    }
     match datagram.signal {
         Signal::Ping => {
             let acknowledgement = self::build_datagram(node, Signal::Ack, datagram.number, "");
@@ -148,10 +151,11 @@
     }
 }
 
-/// Merges the sender's membership record and everything that it passed on.
-fn merge_gossip(node: &Rc<Node>, datagram: &Datagram) {
+/// Merges the sender's membership record and everything that it passed on. Returns whether the
+/// membership changed.
+fn merge_gossip(node: &Rc<Node>, datagram: &Datagram) -> bool {
     let now = node.now();
-    {
+    let is_changed = {
         let mut view = node.member_view();
         let previous = view.generation();
         view.record_contact(&datagram.from, now);
@@ -159,10 +163,12 @@
         if view.generation() != previous {
             log::info!(event = "members_changed", heard_from = datagram.from.name.as_str(), serving = view.serving_members().len(); "membership changed");
         }
-    }
+        view.generation() != previous
+    };
     for crash in &datagram.crashes {
         super::crash::merge_report(node, crash);
     }
+    is_changed
 }
 
 /// Returns the address at which other VMs reach a member, or `None` if it cannot be parsed.
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -609,7 +609,9 @@
 pub struct Statement {
     #[doc = "Time since the target made the statement, in milliseconds."]
     pub age_ms: u64,
-    #[doc = "Requests per 1,000 seconds that the target accepts from all VMs together; null if it no longer states a limit."]
+    #[doc = "Whether the statement is that the target is about to stop; the limit is then stated separately."]
+    pub leaving: bool,
+    #[doc = "Requests per 1,000 seconds that the target accepts from all VMs together; null if it no longer states a limit, or the statement is another."]
     #[serde(deserialize_with = "::std::option::Option::deserialize")]
     pub limit_per_1000_s: ::std::option::Option<u64>,
     #[doc = "Start of the target's process, in milliseconds since the Unix epoch."]
