Pass on no statement from before a VM's own start, and send only news to all at once

A VM counts time from its start: a limit or a leaving that it heard in its first seconds, and that was older than the VM, got the start as its time, and was passed on as younger than it was; it could bring back a limit that had ended since, or take away a target that had said in the store that it stays. Such statements hold on that VM and are not passed on: the others know them. And a limit whose value changes with each response was sent to all VMs at once each second; only its begin and end are now, values go with the probes. The metric of limited targets also falls when a target restarts or is gone.

Tests: statement_from_before_the_start_is_kept_and_not_passed_on, limit_that_replaces_another_is_an_adjustment.

--- a/crates/balance/src/feedback/statements.rs
+++ b/crates/balance/src/feedback/statements.rs
@@ -41,8 +41,10 @@
 /// A change of what is in force for a target.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Change {
-    /// A limit of so many requests per second came into force, in place of another or of none.
+    /// A limit of so many requests per second came into force, where there was none.
     Limited(f64),
+    /// A limit of so many requests per second replaced another.
+    Adjusted(f64),
     /// The target no longer states a limit.
     Unlimited,
 }
@@ -256,10 +258,11 @@
         may_report(&mut self.reported_at, now).then_some(change)
     }
 
-    /// Returns whether other VMs may not know the statement: a limit, or one that ended recently.
+    /// Returns whether other VMs may not know the statement: a limit, or one that ended recently. They
+    /// know one from before the start of this process, whose age is not known here.
     fn is_worth_telling(&self, now: Duration) -> bool {
         let age = now.saturating_sub(self.stated_at);
-        self.rate_limit.is_some() || (self.stated_at > Duration::ZERO && age < END_RETENTION)
+        !self.stated_at.is_zero() && (self.rate_limit.is_some() || age < END_RETENTION)
     }
 
     /// Brings a limit into force. Returns the change, if the limit is another than before.
@@ -276,7 +279,11 @@
         }
         let known = self.rate_limit.as_ref();
         #[allow(clippy::float_cmp, reason = "both are parsed from the same text")]
-        let is_unchanged = known.is_some_and(|known| known.requests_per_s == requests_per_s);
+        let change = match known {
+            None => Some(Change::Limited(requests_per_s)),
+            Some(known) if known.requests_per_s == requests_per_s => None,
+            Some(_) => Some(Change::Adjusted(requests_per_s)),
+        };
         self.stated_at = stated_at;
         self.rate_limit = Some(RateLimit {
             requests_per_s,
@@ -284,7 +291,7 @@
             stated_at,
             source,
         });
-        (!is_unchanged).then_some(Change::Limited(requests_per_s))
+        change
     }
 
     fn end_limit(&mut self, stated_at: Duration) -> Option<Change> {
--- a/crates/balance/tests/rate_limits.rs
+++ b/crates/balance/tests/rate_limits.rs
@@ -308,3 +308,24 @@
 
     assert!(statements.take_gossip(16, at(200)).is_empty());
 }
+
+/// Guards against an ended limit that comes back: a VM that has just started cannot tell how old a
+/// statement from before its start is.
+#[test]
+fn statement_from_before_the_start_is_kept_and_not_passed_on() {
+    let mut statements = Statements::default();
+
+    statements.merge(&gossip(Some(4.0), 0), "vm-1", at(100));
+
+    assert!(statements.rate_limit(TARGET).is_some());
+    assert!(statements.take_gossip(16, at(200)).is_empty());
+}
+
+#[test]
+fn limit_that_replaces_another_is_an_adjustment() {
+    let mut statements = limited(4.0);
+
+    let change = statements.record_rate_limit(TARGET, Field::Stated(5.0), at(2000), at(2100));
+
+    assert_eq!(change, Some(Change::Adjusted(5.0)));
+}
--- a/crates/gateway/src/node/changes.rs
+++ b/crates/gateway/src/node/changes.rs
@@ -107,6 +107,7 @@
         self.balancer
             .borrow_mut()
             .retain_targets(|id| catalog.get(id).is_some());
+        self.update_limited_targets();
         metrics::gauge!("cicadalift_targets").set(to_f64(catalog.len()));
         #[allow(clippy::cast_precision_loss, reason = "versions stay far below 2^52")]
         metrics::gauge!("cicadalift_newest_row").set(newest.version() as f64);
--- a/crates/gateway/src/node/statements.rs
+++ b/crates/gateway/src/node/statements.rs
@@ -70,7 +70,8 @@
         if let Some(change) = change {
             self.report_change(target, change, request_id, "");
         }
-        if is_direct && (is_newly_leaving || change.is_some()) {
+        let begins_or_ends = matches!(change, Some(Change::Limited(_) | Change::Unlimited));
+        if is_direct && (is_newly_leaving || begins_or_ends) {
             broadcast_statements(self);
         }
     }
@@ -153,11 +154,16 @@
         }
     }
 
-    fn report_change(&self, target: &str, change: Change, request_id: &str, from: &str) {
+    /// Updates the metric of targets that state a rate limit.
+    pub(super) fn update_limited_targets(&self) {
         let limited_count = self.balancer.borrow().statements.limited_count();
         metrics::gauge!("cicadalift_limited_targets").set(f64::from(limited_count));
+    }
+
+    fn report_change(&self, target: &str, change: Change, request_id: &str, from: &str) {
+        self.update_limited_targets();
         match change {
-            Change::Limited(requests_per_s) => {
+            Change::Limited(requests_per_s) | Change::Adjusted(requests_per_s) => {
                 log::info!(event = "target_limited", target = target, requests_per_s = requests_per_s, request = request_id, heard_from = from; "target accepts only this many requests per second from all VMs together");
             }
             Change::Unlimited => {
--- a/crates/gateway/src/peers/statements.rs
+++ b/crates/gateway/src/peers/statements.rs
@@ -57,8 +57,10 @@
             leaving: false,
         })
     });
+    // As with limits, a statement from before the start of this process is not passed on.
     let leaving = catalog
         .leaving_targets()
+        .filter(|(_, stated_at)| !stated_at.is_zero())
         .map(|(target, stated_at)| Statement {
             target: target.id.clone(),
             started_at_ms: target.started_at_ms,
