Tell of a leaving target in a refusal for lack of room too; keep early statements by when they were heard

Found by reading. The refusal of a request that waited for a target while that began to leave carried its limit and rest, but not the leaving. A statement of a target whose row is not known yet was dropped by its own age instead of by the time that it had waited for the row, so that of an old one nothing was left.

--- a/crates/gateway/src/frontend/attempt.rs
+++ b/crates/gateway/src/frontend/attempt.rs
@@ -59,7 +59,7 @@
                 node.record_owner_statements(target, &feedback, sent_at, &context.id);
             }
             RelayOutcome::Unreachable => {
-                log::warn!(event = "keeper_unreachable", vm = queue_owner.name.as_str(), target = reservation.dispatch.target.as_str(), request = context.id.as_str(); "VM that owns the target's queue is unreachable; sending to the target directly, unless its rate is limited");
+                log::warn!(event = "keeper_unreachable", vm = queue_owner.name.as_str(), target = reservation.dispatch.target.as_str(), request = context.id.as_str(); "VM that owns the target's queue is unreachable; sending to the target directly, unless it has a rate limit, rests or leaves");
                 node.avoid_queue_owner(queue_owner, node.now());
             }
             RelayOutcome::NoResponse(outcome) => {
--- a/crates/gateway/src/frontend/relayed.rs
+++ b/crates/gateway/src/frontend/relayed.rs
@@ -146,11 +146,7 @@
                 &RETRY_AFTER_MS_HEADER,
                 duration_ms(retry_after),
             );
-            let feedback = node
-                .balancer
-                .borrow()
-                .statements
-                .feedback(target, node.now());
+            let feedback = node.feedback(target);
             (node.header_names.feedback.encode)(&feedback, response.headers_mut());
             return response;
         }
--- a/crates/gateway/src/peers/statements.rs
+++ b/crates/gateway/src/peers/statements.rs
@@ -82,6 +82,7 @@
     for statement in received.statements {
         let heard = HeardStatement {
             stated_at: now.saturating_sub(Duration::from_millis(statement.age_ms)),
+            heard_at: now,
             from: received.from.clone(),
             statement,
         };
@@ -102,7 +103,7 @@
     let pending = {
         let mut all = node.pending_statements.borrow_mut();
         let now = node.now();
-        all.retain(|heard| now.saturating_sub(heard.stated_at) < PENDING_RETENTION);
+        all.retain(|heard| now.saturating_sub(heard.heard_at) < PENDING_RETENTION);
         let is_of_target = |heard: &mut HeardStatement| heard.statement.target == target;
         all.extract_if(.., is_of_target).collect::<Vec<_>>()
     };
@@ -116,6 +117,7 @@
 pub(crate) struct HeardStatement {
     statement: Statement,
     stated_at: Duration,
+    heard_at: Duration,
     /// Name of the VM that passed it on.
     from: String,
 }
