--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -1,31 +1,20 @@
 //! Load patterns run against the decisions of one balancer.
 
+mod fixtures;
+
 use {
     balance::{
         Affinity, Balancer, Decision, Dispatch, EligibleTarget, LoadReport, Locality,
         PendingRequest, QueueKey, preselect_targets,
     },
-    catalog::{Target, TargetState},
-    std::{net::SocketAddr, time::Duration},
+    catalog::Target,
+    fixtures::target,
+    std::time::Duration,
 };
 
 const NOW: Duration = Duration::from_secs(10);
 const OBJECTIVE: Duration = Duration::from_millis(600);
 
-fn target(id: &str, zone: &str) -> Target {
-    Target {
-        id: id.to_owned(),
-        service: "s".to_owned(),
-        address: SocketAddr::from(([127, 0, 0, 1], 80)),
-        zone: zone.to_owned(),
-        slots: 4,
-        state: TargetState::Ready,
-        warmup_left: Duration::ZERO,
-        started_at_ms: 1,
-        report_number: 0,
-    }
-}
-
 fn eligible(target: &Target, locality: Locality) -> EligibleTarget<'_> {
     EligibleTarget {
         target,
--- a/crates/balance/tests/limited_targets.rs
+++ b/crates/balance/tests/limited_targets.rs
@@ -1,29 +1,18 @@
-//! Where work goes that targets with a rate limit do not accept.
+//! Where work goes that targets do not accept because they state a rate limit or rest.
+
+mod fixtures;
 
 use {
     balance::{Balancer, Decision, EligibleTarget, Field, Locality, PendingRequest, QueueKey},
-    catalog::{Target, TargetState},
-    std::{collections::BTreeSet, net::SocketAddr, time::Duration},
+    catalog::Target,
+    fixtures::target,
+    std::{collections::BTreeSet, time::Duration},
 };
 
 const NOW: Duration = Duration::from_secs(10);
 const OBJECTIVE: Duration = Duration::from_millis(600);
 const LIMIT_PER_S: f64 = 0.5;
 
-fn target(id: &str, zone: &str) -> Target {
-    Target {
-        id: id.to_owned(),
-        service: "s".to_owned(),
-        address: SocketAddr::from(([127, 0, 0, 1], 80)),
-        zone: zone.to_owned(),
-        slots: 4,
-        state: TargetState::Ready,
-        warmup_left: Duration::ZERO,
-        started_at_ms: 1,
-        report_number: 0,
-    }
-}
-
 fn eligible(target: &Target, has_remote_queue: bool) -> EligibleTarget<'_> {
     let is_local = target.zone == "z";
     EligibleTarget {
