--- a/crates/balance/src/feedback/statements.rs
+++ b/crates/balance/src/feedback/statements.rs
@@ -88,9 +88,8 @@
     /// Takes over what a response states about a rate limit. `sent_at` is when the request was
     /// sent. Returns the change, unless one of this target was returned shortly before.
     ///
-    /// A response without a limit ends the one in force only if that was last stated
-    /// [`MIN_HOLD`] ago, and before the request was sent: responses of different connections arrive
-    /// in any order.
+    /// A response without a limit ends the one in force only if that was last stated some time ago,
+    /// and before the request was sent: responses of different connections arrive in any order.
     pub fn record_rate_limit(
         &mut self,
         target: &str,
