Say in the log from whom a configuration came, and how old a source's knowledge is

A VM behind an update source showed heard_ms_ago 0 however long the source itself had not heard of the store, and routes_in_force did not say who delivered the configuration, so that a silent store could not be told from a late delivery between VMs.

Batches carry the age of the store's last response in a header, which VMs of earlier builds ignore; routes_in_force has heard_from.

--- a/crates/gateway/src/node/changes.rs
+++ b/crates/gateway/src/node/changes.rs
@@ -11,17 +11,19 @@
 
 impl Node {
     /// Replaces the route table with one built from a configuration, unless that is out of date.
+    /// `origin` names the store, or the VM that delivered the configuration.
     pub(crate) fn apply_routes(
         &self,
         mut configuration: RouteConfiguration,
         row_revision: Revision,
+        origin: &str,
     ) {
         let version = configuration.version;
         let warnings = std::mem::take(&mut configuration.warnings);
         let result = self.route_table().with_configuration(configuration);
         match result {
             Ok(table) => {
-                log::info!(event = "routes_in_force", version = version, row:% = row_revision, routes = table.len(), unusable = table.unusable_routes().len(); "route configuration applied");
+                log::info!(event = "routes_in_force", version = version, row:% = row_revision, heard_from = origin, routes = table.len(), unusable = table.unusable_routes().len(); "route configuration applied");
                 report_configuration(&table, &warnings);
                 *self.route_table.borrow_mut() = Rc::new(table);
                 self.service_rotations.borrow_mut().clear();
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -225,8 +225,12 @@
 
     /// Records a successful store call for a table.
     pub(crate) fn record_store_success(&self, table: &str) {
+        self.last_store_contact.set(Some(self.now()));
+        self.end_table_failure(table);
+    }
+
+    fn end_table_failure(&self, table: &str) {
         let now = self.now();
-        self.last_store_contact.set(Some(now));
         let mut table_health = self.table_health.borrow_mut();
         let health = table_health.entry(table.to_owned()).or_default();
         if let Some(since) = health.failing_since.take() {
@@ -237,9 +241,12 @@
     }
 
     /// Records a batch from an update source that can reach the store. This counts as a success
-    /// for every table whose calls failed.
-    pub(crate) fn record_source_success(&self) {
-        self.last_store_contact.set(Some(self.now()));
+    /// for every table whose calls failed. `store_age` is the time since the store responded to the
+    /// source, or `None` if the source does not say.
+    pub(crate) fn record_source_success(&self, store_age: Option<Duration>) {
+        let heard_at = self.now().saturating_sub(store_age.unwrap_or_default());
+        let previous = self.last_store_contact.get();
+        self.last_store_contact.set(previous.max(Some(heard_at)));
         let tables: Vec<String> = {
             let table_health = self.table_health.borrow();
             let failing = table_health
@@ -248,7 +255,7 @@
             failing.map(|(table, _)| table.clone()).collect()
         };
         for table in tables {
-            self.record_store_success(&table);
+            self.end_table_failure(&table);
         }
     }
 
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -8,6 +8,6 @@
 
 pub(crate) use crash::detect_crash;
 pub(crate) use prober::{broadcast_ping, probe_members, send_ping};
-pub(crate) use records::serve_records;
+pub(crate) use records::{STORE_AGE_MS_HEADER, serve_records};
 pub(crate) use socket::{Socket, receive_datagrams};
 pub(crate) use statements::{HeardStatement, broadcast_statements, merge_pending_statements};
--- a/crates/gateway/src/peers/records.rs
+++ b/crates/gateway/src/peers/records.rs
@@ -1,13 +1,18 @@
 //! Serves rows of the platform's store to other VMs.
 
 use {
-    crate::{HttpResponse, Node, frontend::text_response, store},
+    crate::{HttpResponse, Node, frontend::text_response, node::duration_ms, store},
     bytes::Bytes,
-    hyper::{Request, StatusCode, body::Incoming},
+    hyper::{Request, StatusCode, body::Incoming, header::HeaderName, http::HeaderValue},
     std::{rc::Rc, str::FromStr, time::Duration},
     wire::{Batch, Revision},
 };
 
+/// Response header: time since the store last responded to the sender, in milliseconds. Missing if it
+/// never did.
+pub(crate) const STORE_AGE_MS_HEADER: HeaderName =
+    HeaderName::from_static("cicadalift-store-age-ms");
+
 /// Answers a request for the rows that changed after the revision `after` in the query. Without
 /// newer rows, the response is delayed by up to `wait_ms` milliseconds until there are some.
 pub(crate) async fn serve_records(node: Rc<Node>, request: Request<Incoming>) -> HttpResponse {
@@ -40,7 +45,14 @@
         ..node.replica().build_batch(after, &node.store.tables)
     };
     match wire::encode(&batch) {
-        Ok(bytes) => HttpResponse::new(Bytes::from(bytes).into()),
+        Ok(bytes) => {
+            let mut response = HttpResponse::new(Bytes::from(bytes).into());
+            if let Some(age) = node.time_since_store_contact() {
+                let age_ms = HeaderValue::from(duration_ms(age));
+                response.headers_mut().insert(STORE_AGE_MS_HEADER, age_ms);
+            }
+            response
+        }
         Err(error) => {
             log::error!(event = "records_unwritable", reason:% = error; "rows cannot be encoded; a peer gets no update");
             text_response(StatusCode::INTERNAL_SERVER_ERROR, "rows cannot be written")
--- a/crates/gateway/src/store/pull.rs
+++ b/crates/gateway/src/store/pull.rs
@@ -2,7 +2,8 @@
 
 use {
     super::apply_records,
-    crate::{Node, StoreError, http_client::ClientRequest},
+    crate::{Node, StoreError, http_client::ClientRequest, peers::STORE_AGE_MS_HEADER},
+    hyper::HeaderMap,
     rand::Rng,
     std::{net::SocketAddr, rc::Rc, time::Duration},
     wire::{Batch, Member, Revision, Status},
@@ -16,6 +17,13 @@
 /// Interval between pulls while the store is unreachable and no peer is known to be ahead.
 const OUTAGE_PULL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Rows from another VM.
+pub(super) struct PeerBatch {
+    pub(super) batch: Batch,
+    /// Time since the store last responded to that VM, or `None` if it never did or does not say.
+    pub(super) store_age: Option<Duration>,
+}
+
 /// Pulls rows from a peer that is ahead, or from any peer while the store is unreachable, until
 /// the process ends.
 pub(crate) async fn pull_missing_rows(node: Rc<Node>) {
@@ -49,7 +57,7 @@
     };
     let after = node.complete_revision();
     match fetch_batch(node, &peer, after, Duration::ZERO, PULL_TIMEOUT).await {
-        Ok(batch) => {
+        Ok(PeerBatch { batch, .. }) => {
             apply_batch(node, &batch, &peer.name);
             log::info!(event = "pulled", vm = peer.name.as_str(), after:% = after, version:% = batch.revision, rows = batch.records.len(); "rows pulled from another VM");
         }
@@ -71,13 +79,13 @@
         node.accept_era_of_peer(era, peer);
     }
     let after_outage = !batch.settled && !node.is_store_settled();
-    apply_records(node, &batch.records, after_outage);
+    apply_records(node, &batch.records, after_outage, peer);
     for table in &node.store.tables {
         if batch.whole {
             let deletions = node
                 .replica()
                 .infer_deletions(table, &batch.records, batch.revision);
-            apply_records(node, &deletions, after_outage);
+            apply_records(node, &deletions, after_outage, peer);
         }
         node.mark_table_complete(table, batch.revision);
     }
@@ -111,7 +119,7 @@
     after: Revision,
     wait: Duration,
     margin: Duration,
-) -> Result<Batch, StoreError> {
+) -> Result<PeerBatch, StoreError> {
     let malformed = |error: &dyn std::fmt::Display| StoreError::Malformed(error.to_string());
     let address: SocketAddr = peer.peer.parse().map_err(|e| malformed(&e))?;
     let path = format!("/records?after={after}&wait_ms={}", wait.as_millis());
@@ -120,5 +128,13 @@
     if response.status != 200 {
         return Err(StoreError::Rejected(response.status));
     }
-    wire::decode(&response.body).map_err(|e| malformed(&e))
+    Ok(PeerBatch {
+        batch: wire::decode(&response.body).map_err(|e| malformed(&e))?,
+        store_age: parse_store_age(&response.headers),
+    })
+}
+
+fn parse_store_age(headers: &HeaderMap) -> Option<Duration> {
+    let age_ms = headers.get(STORE_AGE_MS_HEADER)?.to_str().ok()?;
+    age_ms.parse().ok().map(Duration::from_millis)
 }
--- a/crates/gateway/src/store/source.rs
+++ b/crates/gateway/src/store/source.rs
@@ -5,7 +5,7 @@
 //! its source fails or cannot reach the store, a VM watches the store itself for a while.
 
 use {
-    super::pull::{apply_batch, fetch_batch},
+    super::pull::{PeerBatch, apply_batch, fetch_batch},
     crate::Node,
     std::{rc::Rc, time::Duration},
     wire::Member,
@@ -30,12 +30,12 @@
         };
         let after = node.complete_revision();
         let failure = match fetch_batch(&node, &source, after, MAX_WAIT, CALL_MARGIN).await {
-            Ok(batch) if batch.revision.era() < node.replica().era() => Some(
+            Ok(PeerBatch { batch, .. }) if batch.revision.era() < node.replica().era() => Some(
                 "source has not noticed that the store was restored from a snapshot".to_owned(),
             ),
-            Ok(batch) => {
+            Ok(PeerBatch { batch, store_age }) => {
                 if batch.well {
-                    node.record_source_success();
+                    node.record_source_success(store_age);
                 }
                 apply_batch(&node, &batch, &source.name);
                 (!batch.well).then(|| "source cannot reach the store".to_owned())
--- a/crates/gateway/src/store/watch.rs
+++ b/crates/gateway/src/store/watch.rs
@@ -18,6 +18,9 @@
 /// Interval between checks while another VM watches the store for this one.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Name of the store in logs, beside those of VMs from which rows may come too.
+const STORE_NAME: &str = "store";
+
 /// Watches a table until the process ends, whenever this VM is one of those that watch the
 /// store. The table is first read in full, and again if the store does not have its changes since
 /// the known revision, or is restored from an older snapshot.
@@ -79,8 +82,8 @@
         .replica()
         .infer_deletions(table, &read.records, read.revision);
     let after_outage = !node.is_store_settled();
-    let changed = apply_records(node, &read.records, after_outage);
-    apply_records(node, &deletions, after_outage);
+    let changed = apply_records(node, &read.records, after_outage, STORE_NAME);
+    apply_records(node, &deletions, after_outage, STORE_NAME);
     node.mark_table_complete(table, read.revision);
     let known = known.map_or_else(|| "nothing".to_owned(), |known| known.to_string());
     log::info!(event = "table_read", table = table, version:% = read.revision, known = known.as_str(), rows = read.records.len(), changed = changed, deleted = deletions.len(), held = after_outage; "whole table read from the store; deletions wait for a while if held");
@@ -95,7 +98,8 @@
     let changes = (node.store.watch_table)(table.to_owned(), after, MAX_WAIT).await?;
     let changes = node.accept_changes(changes, after);
     let changes = changes.ok_or(StoreError::HistoryTruncated)?;
-    apply_records(node, &changes.records, !node.is_store_settled());
+    let after_outage = !node.is_store_settled();
+    apply_records(node, &changes.records, after_outage, STORE_NAME);
     node.mark_table_complete(table, changes.revision);
     if !changes.records.is_empty() {
         tokio::time::sleep(BATCH_DELAY).await;
@@ -103,17 +107,22 @@
     Ok(())
 }
 
-/// Applies the rows that are newer than the known ones, whichever source delivered them. Returns
-/// their number.
+/// Applies the rows that are newer than the known ones. Returns their number. `origin` names the
+/// store, or the VM that delivered them.
 ///
 /// With `after_outage`, a deletion may only mean that a target could not renew its row while the
 /// store was unreachable.
-pub(crate) fn apply_records(node: &Rc<Node>, records: &[Record], after_outage: bool) -> usize {
+pub(crate) fn apply_records(
+    node: &Rc<Node>,
+    records: &[Record],
+    after_outage: bool,
+    origin: &str,
+) -> usize {
     let mut changed = 0;
     for record in records {
         let is_newer = node.replica().apply(record);
         if is_newer {
-            apply_change(node, record, after_outage);
+            apply_change(node, record, after_outage, origin);
             changed += 1;
         }
     }
@@ -123,11 +132,11 @@
     changed
 }
 
-fn apply_change(node: &Rc<Node>, record: &Record, after_outage: bool) {
+fn apply_change(node: &Rc<Node>, record: &Record, after_outage: bool, origin: &str) {
     let revision = record.revision;
     let now = node.now();
     match (node.store.decode_record)(record) {
-        Change::Routes(configuration) => node.apply_routes(configuration, revision),
+        Change::Routes(configuration) => node.apply_routes(configuration, revision, origin),
         Change::Target(target) => node.apply_target(target, revision, now),
         Change::TargetDeleted(id) => node.remove_target(&id, revision, "deleted", after_outage),
         Change::TargetInvalid { id, reason } => {
