Rely on a silent call to the store for less time than a change may take

Cause: a call waited up to 2.5 s for changes and 1.5 s more for the response, so a store that went silent on an open connection was relied on for 4.0 s; the users' smallest bound is 2.0 s. After a failure the next call waited as long again, so that a VM could still be in a hung call 3 s after the store was back.

Change: catalog::WatchTimeouts, pure: wait and margin are half and a fifth of the time in which a change has to be in force, which comes from the settings; a failed call doubles the margin, so that a slow store is still followed, and the next one does not wait.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -3,8 +3,8 @@
 //! [`Catalog`] receives rows with their store revision and determines which targets may receive
 //! requests. A row never overrides a newer one, whichever source delivers it.
 //! [`RecordReplica`] keeps the rows themselves and passes them on to peers; [`EraTracker`] tells
-//! when the store was restored from an older snapshot. Nothing here does
-//! I/O or reads a clock: every `now` is an argument, the time since the start of the process.
+//! when the store was restored from an older snapshot, and [`WatchTimeouts`] how long a call for
+//! changes is relied on. Nothing here does I/O or reads a clock: every `now` is an argument, the time since the start of the process.
 //! See `docs/PLATFORM.md`, section "Targets".
 
 mod catalog;
@@ -12,8 +12,10 @@
 mod evacuation;
 mod replica;
 mod target;
+mod watch_timeouts;
 
 pub use catalog::Catalog;
 pub use era::{EraChange, EraTracker, NamedEra};
 pub use replica::RecordReplica;
 pub use target::{Target, TargetState};
+pub use watch_timeouts::WatchTimeouts;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,5 +29,5 @@
 pub use settings::{Bounds, Settings};
 pub use store::{
     Change, DecodeRecord, ListVms, ReadTable, RegisterVm, Registration, Store, StoreFuture,
-    VersionedRows, WatchTable,
+    TableWatch, VersionedRows, WatchTable,
 };
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -13,6 +13,8 @@
     pub grace: Duration,
     /// Longest time for which callers may cache lookups.
     pub max_ttl: Duration,
+    /// Time in which a confirmed change of routes or targets has to be in force.
+    pub change_time: Duration,
     /// Retry budget, shared by all VMs.
     pub retry: RetryRule,
     /// Factor applied to the configured request rate of a cold target.
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -8,7 +8,7 @@
 
 pub use port::{
     Change, DecodeRecord, ListVms, ReadTable, RegisterVm, Registration, Store, StoreFuture,
-    VersionedRows, WatchTable,
+    TableWatch, VersionedRows, WatchTable,
 };
 pub(crate) use pull::pull_missing_rows;
 pub(crate) use registration::{maintain_registration, unregister_vm};
--- a/crates/gateway/src/store/port.rs
+++ b/crates/gateway/src/store/port.rs
@@ -79,11 +79,23 @@
 
 /// Reads all rows of a table.
 pub type ReadTable = Rc<dyn Fn(String) -> StoreFuture<VersionedRows>>;
-/// Waits for changes of a table after a revision. The duration is the longest wait; without changes
-/// the result is then empty. Fails with [`StoreError::HistoryTruncated`] if the store does not have
+/// A call that waits for changes of a table.
+#[derive(Debug, Clone)]
+pub struct TableWatch {
+    /// Name of the table.
+    pub table: String,
+    /// Revision up to which the changes are known.
+    pub after: Revision,
+    /// Longest wait for changes.
+    pub wait: Duration,
+    /// Time after which the call has failed, the wait included.
+    pub timeout: Duration,
+}
+
+/// Waits for changes of a table. Without any, the result is empty. Fails with [`StoreError::HistoryTruncated`] if the store does not have
 /// the changes since the revision. The result may be of another era than the revision; it then
 /// says nothing of the changes since.
-pub type WatchTable = Rc<dyn Fn(String, Revision, Duration) -> StoreFuture<VersionedRows>>;
+pub type WatchTable = Rc<dyn Fn(TableWatch) -> StoreFuture<VersionedRows>>;
 /// Adds or removes the registration of a VM.
 pub type RegisterVm = Rc<dyn Fn(Registration) -> StoreFuture<()>>;
 /// Lists the registered VMs.
--- a/crates/gateway/src/store/watch.rs
+++ b/crates/gateway/src/store/watch.rs
@@ -1,15 +1,13 @@
 //! Watches the tables of the store and applies their changes to the node.
 
 use {
-    super::source::watches_store,
+    super::{port::TableWatch, source::watches_store},
     crate::{Change, Node, StoreError},
+    catalog::WatchTimeouts,
     std::{rc::Rc, time::Duration},
     wire::Record,
 };
 
-/// Longest wait for changes in one call. It bounds how long a store that does not respond is
-/// relied on.
-const MAX_WAIT: Duration = Duration::from_millis(2500);
 /// Delay before the next call after changes, so that further changes arrive together.
 const BATCH_DELAY: Duration = Duration::from_millis(120);
 /// Delay after the first failed call; doubled after each further one.
@@ -25,6 +23,7 @@
 /// store. The table is first read in full, and again if the store does not have its changes since
 /// the known revision, or is restored from an older snapshot.
 pub(crate) async fn watch_table(node: Rc<Node>, table: String) {
+    let mut timeouts = WatchTimeouts::new(node.bounds().change_time);
     let mut retry_delay = MIN_RETRY_DELAY;
     let mut needs_full_read = false;
     loop {
@@ -34,11 +33,13 @@
         }
         let reads_in_full = needs_full_read || node.replica().table_revision(&table).is_none();
         let mut eras = node.subscribe_eras();
+        timeouts.set_change_time(node.bounds().change_time);
+        let called_at = node.now();
         let call = async {
             if reads_in_full {
                 read_table(&node, &table).await
             } else {
-                await_changes(&node, &table).await
+                await_changes(&node, &table, &timeouts).await
             }
         };
         let result = tokio::select! {
@@ -52,6 +53,7 @@
                 node.record_store_success(&table);
                 needs_full_read = false;
                 if !reads_in_full {
+                    timeouts.record_success(node.now().saturating_sub(called_at));
                     retry_delay = MIN_RETRY_DELAY;
                 }
             }
@@ -66,6 +68,7 @@
             }
             Err(error) => {
                 node.record_store_failure(&table, &error);
+                timeouts.record_failure();
                 tokio::time::sleep(retry_delay).await;
                 retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
             }
@@ -92,10 +95,20 @@
 }
 
 /// Waits for the next changes of a table and applies them.
-async fn await_changes(node: &Rc<Node>, table: &str) -> Result<(), StoreError> {
+async fn await_changes(
+    node: &Rc<Node>,
+    table: &str,
+    timeouts: &WatchTimeouts,
+) -> Result<(), StoreError> {
     let after = node.replica().table_revision(table);
     let after = after.ok_or(StoreError::HistoryTruncated)?;
-    let changes = (node.store.watch_table)(table.to_owned(), after, MAX_WAIT).await?;
+    let watch = TableWatch {
+        table: table.to_owned(),
+        after,
+        wait: timeouts.wait(),
+        timeout: timeouts.timeout(),
+    };
+    let changes = (node.store.watch_table)(watch).await?;
     let changes = node.accept_changes(changes, after);
     let changes = changes.ok_or(StoreError::HistoryTruncated)?;
     let after_outage = !node.is_store_settled();
