Send on a new connection after a failed call to the store or another VM

Cause: after a call had timed out, the next one took an idle connection from the pool (registrations are read on it), which had gone silent at the same moment.

Change: a failed call closes the idle connections to its address, as failures of targets do. The same client serves calls between VMs, so a pull or a poll of a source that failed is not repeated on a connection of the same age either.

--- a/crates/gateway/src/http_client/request.rs
+++ b/crates/gateway/src/http_client/request.rs
@@ -54,15 +54,21 @@
 }
 
 impl Client {
-    /// Sends a request and returns the complete response, whatever its status.
+    /// Sends a request and returns the complete response, whatever its status. After a failure the
+    /// next request to the server is sent on a new connection.
     ///
     /// # Errors
     /// [`StoreError::NoResponse`] when the server is unreachable, the response is incomplete or
     /// too large, or the timeout passes. The request may have taken effect.
     pub async fn execute(&self, request: ClientRequest<'_>) -> Result<ClientResponse, StoreError> {
-        let timeout = request.timeout;
+        let (address, timeout) = (request.address, request.timeout);
         let result = tokio::time::timeout(timeout, self.execute_without_timeout(request)).await;
-        result.unwrap_or_else(|_| Err(StoreError::NoResponse("timeout".to_owned())))
+        let result = result.unwrap_or_else(|_| Err(StoreError::NoResponse("timeout".to_owned())));
+        if result.is_err() {
+            // The idle connections may have gone silent together with this one.
+            self.close_idle(address);
+        }
+        result
     }
 
     /// Sends a `POST` request with a JSON body and returns the complete response.
