Let an update source say at once that it has lost the store

Cause: a VM trusts its update source while that waits in a silent call, and the source told it only at the end of the poll under way, up to 1 s later. Together with the source's call of 4.0 s that was over twice the users' bound.

Change: a poll is answered as soon as the source loses the store, so the worst chain is the source's call (1.4 s of 2 s) and one call of its own. The poll's wait and timeout follow the settings' bound as well, in place of 1 s and 0.4 s.

--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -66,9 +66,8 @@
     table_health: RefCell<Map<String, TableHealth>>,
     /// When the store last responded, to this VM or to the one that it receives rows from.
     last_store_contact: Cell<Option<Duration>>,
-    /// Wakes requests of peers for rows. Holds the revision up to which the table that changed last
-    /// is complete.
-    replica_revision: watch::Sender<Revision>,
+    /// Wakes requests of peers for rows when there may be new ones, or this VM loses the store.
+    replica_changes: watch::Sender<()>,
     pub(super) era_tracker: Cell<EraTracker>,
     /// Wakes the calls that began in an earlier era. Counts the eras that have begun.
     pub(super) era_changes: watch::Sender<u64>,
@@ -125,7 +124,7 @@
             replica: RefCell::default(),
             table_health: RefCell::default(),
             last_store_contact: Cell::default(),
-            replica_revision: watch::Sender::new(Revision::default()),
+            replica_changes: watch::Sender::new(()),
             era_tracker: Cell::default(),
             era_changes: watch::Sender::new(0),
             source_bypass_until: Cell::new(Duration::ZERO),
@@ -197,7 +196,7 @@
     /// wait for them.
     pub(crate) fn mark_table_complete(&self, table: &str, revision: Revision) {
         self.replica().mark_complete(table, revision);
-        self.replica_revision.send_replace(revision);
+        self.replica_changes.send_replace(());
     }
 
     /// Returns the revision up to which all changes of all tables are known, or the start of the
@@ -208,9 +207,10 @@
         complete.unwrap_or(replica.era_start())
     }
 
-    /// Returns a receiver that is notified when a table becomes complete up to a new revision.
-    pub(crate) fn subscribe_replica(&self) -> watch::Receiver<Revision> {
-        self.replica_revision.subscribe()
+    /// Returns a receiver that is notified when a table becomes complete up to a new revision, or
+    /// this VM loses the store.
+    pub(crate) fn subscribe_replica(&self) -> watch::Receiver<()> {
+        self.replica_changes.subscribe()
     }
 
     /// Makes this VM watch the store itself, without its update source, until a time.
@@ -266,6 +266,7 @@
         let health = table_health.entry(table.to_owned()).or_default();
         if health.failing_since.is_none() {
             health.failing_since = Some(now);
+            self.replica_changes.send_replace(());
             log::warn!(event = "dependency_lost", dependency = "store", table = table, reason:% = error; "store call failed; routes and targets may become outdated");
         }
     }
--- a/crates/gateway/src/peers/records.rs
+++ b/crates/gateway/src/peers/records.rs
@@ -8,28 +8,31 @@
     wire::{Batch, Revision},
 };
 
+/// Longest delay of a response without newer rows.
+const MAX_WAIT: Duration = Duration::from_secs(5);
 /// Response header: time since the store last responded to the sender, in milliseconds. Missing if it
 /// never did.
 pub(crate) const STORE_AGE_MS_HEADER: HeaderName =
     HeaderName::from_static("cicadalift-store-age-ms");
 
 /// Answers a request for the rows that changed after the revision `after` in the query. Without
-/// newer rows, the response is delayed by up to `wait_ms` milliseconds until there are some.
+/// newer rows, the response is delayed by up to `wait_ms` milliseconds until there are some, or
+/// this VM loses the store.
 pub(crate) async fn serve_records(node: Rc<Node>, request: Request<Incoming>) -> HttpResponse {
     let query = request.uri().query().unwrap_or_default();
     let Some(after) = parse_value(query, "after") else {
         return text_response(StatusCode::BAD_REQUEST, "no revision");
     };
     let wait = Duration::from_millis(parse_value(query, "wait_ms").unwrap_or(0));
-    let deadline = node.now() + wait.min(store::MAX_WAIT);
-    let mut replica_revision = node.subscribe_replica();
+    let deadline = node.now() + wait.min(MAX_WAIT);
+    let mut replica_changes = node.subscribe_replica();
     let has_changes = || {
         let complete = node.replica().complete_revision(&node.store.tables);
         complete.is_some_and(|complete| complete > after)
     };
-    while !has_changes() {
+    while follows_store(&node) && !has_changes() {
         let changed =
-            tokio::time::timeout_at(node.clock.instant_at(deadline), replica_revision.changed());
+            tokio::time::timeout_at(node.clock.instant_at(deadline), replica_changes.changed());
         if changed.await.is_err() {
             break;
         }
@@ -37,10 +40,14 @@
     respond_with_batch(&node, after)
 }
 
+/// Returns whether this VM currently receives changes directly from the store.
+fn follows_store(node: &Node) -> bool {
+    node.is_store_available() && store::watches_store(node)
+}
+
 fn respond_with_batch(node: &Rc<Node>, after: Revision) -> HttpResponse {
-    let well = node.is_store_available() && store::watches_store(node);
     let batch = Batch {
-        well,
+        well: follows_store(node),
         settled: node.is_store_settled(),
         ..node.replica().build_batch(after, &node.store.tables)
     };
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -12,5 +12,5 @@
 };
 pub(crate) use pull::pull_missing_rows;
 pub(crate) use registration::{maintain_registration, unregister_vm};
-pub(crate) use source::{MAX_WAIT, poll_source, watches_store};
+pub(crate) use source::{poll_source, watches_store};
 pub(crate) use watch::{apply_records, watch_table};
--- a/crates/gateway/src/store/pull.rs
+++ b/crates/gateway/src/store/pull.rs
@@ -108,7 +108,7 @@
 }
 
 /// Requests the rows that changed after a revision from a peer. Without newer rows, the peer may
-/// delay its response by up to `wait`; `margin` is the time for the call itself.
+/// delay its response by up to `wait`; the call has failed after `timeout`.
 ///
 /// # Errors
 /// A [`StoreError`] when the peer does not respond in time, rejects the request or sends a batch
@@ -118,12 +118,12 @@
     peer: &Member,
     after: Revision,
     wait: Duration,
-    margin: Duration,
+    timeout: Duration,
 ) -> Result<PeerBatch, StoreError> {
     let malformed = |error: &dyn std::fmt::Display| StoreError::Malformed(error.to_string());
     let address: SocketAddr = peer.peer.parse().map_err(|e| malformed(&e))?;
     let path = format!("/records?after={after}&wait_ms={}", wait.as_millis());
-    let request = ClientRequest::get(address, &path, wait + margin);
+    let request = ClientRequest::get(address, &path, timeout);
     let response = node.client.execute(request).await?;
     if response.status != 200 {
         return Err(StoreError::Rejected(response.status));
--- a/crates/gateway/src/store/source.rs
+++ b/crates/gateway/src/store/source.rs
@@ -7,15 +7,11 @@
 use {
     super::pull::{PeerBatch, apply_batch, fetch_batch},
     crate::Node,
+    catalog::WatchTimeouts,
     std::{rc::Rc, time::Duration},
     wire::Member,
 };
 
-/// Longest wait for rows in one call. It bounds how long a source that does not respond is
-/// relied on.
-pub(crate) const MAX_WAIT: Duration = Duration::from_secs(1);
-/// Time allowed for the call itself, on top of that wait.
-const CALL_MARGIN: Duration = Duration::from_millis(400);
 /// Time for which a VM watches the store itself after its source failed.
 const BYPASS_TIME: Duration = Duration::from_secs(3);
 /// Interval between checks while this VM has no source to poll.
@@ -29,7 +25,9 @@
             continue;
         };
         let after = node.complete_revision();
-        let failure = match fetch_batch(&node, &source, after, MAX_WAIT, CALL_MARGIN).await {
+        let timeouts = WatchTimeouts::new(node.bounds().change_time);
+        let (wait, timeout) = (timeouts.wait(), timeouts.timeout());
+        let failure = match fetch_batch(&node, &source, after, wait, timeout).await {
             Ok(PeerBatch { batch, .. }) if batch.revision.era() < node.replica().era() => Some(
                 "source has not noticed that the store was restored from a snapshot".to_owned(),
             ),
