Send changes of one table to a waiting VM without news of the other

Cause: a poll was answered when all tables were known up to a newer revision. Without news of the targets their table's call ends only after its wait, so the operator's change lay at the source until then, and reached the other VMs by the pull from a VM that is ahead, if they heard of one.

Change: a VM polls its source for each table, as a VM that watches the store does. Batches hold the rows of the tables asked for. VMs of earlier builds do not send or know the parameter, and get and give rows of all tables as before.

--- a/crates/catalog/src/replica.rs
+++ b/crates/catalog/src/replica.rs
@@ -122,7 +122,7 @@
             .or_insert(revision);
     }
 
-    /// Returns the changes for a peer that knows all changes up to `after`.
+    /// Returns the changes of the given tables for a peer that knows all of them up to `after`.
     ///
     /// A VM that read a table in full does not know of earlier deletions. A peer that is further
     /// behind than that read, or of an older era, therefore gets all rows, marked as `whole`. A
@@ -136,8 +136,10 @@
         let base_revision = base_revisions.collect::<Option<Vec<Revision>>>();
         let base_revision = base_revision.and_then(|revisions| revisions.into_iter().max());
         let whole = base_revision.is_some_and(|base| after < base);
+        let mut records = self.changes_since(if whole { Revision::default() } else { after });
+        records.retain(|record| tables.contains(&record.table));
         Batch {
-            records: self.changes_since(if whole { Revision::default() } else { after }),
+            records,
             revision: self.complete_revision(tables).unwrap_or(self.era_start()),
             whole,
             well: false,
--- a/crates/gateway/src/launch.rs
+++ b/crates/gateway/src/launch.rs
@@ -80,8 +80,8 @@
     tokio::task::spawn_local(peers::probe_members(node.clone(), socket));
     tokio::task::spawn_local(store::maintain_registration(node.clone()));
     tokio::task::spawn_local(store::pull_missing_rows(node.clone()));
-    tokio::task::spawn_local(store::poll_source(node.clone()));
     for table in node.store.tables.clone() {
+        tokio::task::spawn_local(store::poll_source(node.clone(), table.clone()));
         tokio::task::spawn_local(store::watch_table(node.clone(), table));
     }
     tokio::task::spawn_local(apply_changed_settings(
--- a/crates/gateway/src/peers/records.rs
+++ b/crates/gateway/src/peers/records.rs
@@ -15,19 +15,23 @@
 pub(crate) const STORE_AGE_MS_HEADER: HeaderName =
     HeaderName::from_static("cicadalift-store-age-ms");
 
-/// Answers a request for the rows that changed after the revision `after` in the query. Without
-/// newer rows, the response is delayed by up to `wait_ms` milliseconds until there are some, or
+/// Answers a request for the rows of the table `table` that changed after the revision `after`, both
+/// in the query; without the former, for those of all tables. Without newer rows, the response is delayed by up to `wait_ms` milliseconds until there are some, or
 /// this VM loses the store.
 pub(crate) async fn serve_records(node: Rc<Node>, request: Request<Incoming>) -> HttpResponse {
     let query = request.uri().query().unwrap_or_default();
     let Some(after) = parse_value(query, "after") else {
         return text_response(StatusCode::BAD_REQUEST, "no revision");
     };
+    let tables = match query_value(query, "table") {
+        Some(table) => vec![table.to_owned()],
+        None => node.store.tables.clone(),
+    };
     let wait = Duration::from_millis(parse_value(query, "wait_ms").unwrap_or(0));
     let deadline = node.now() + wait.min(MAX_WAIT);
     let mut replica_changes = node.subscribe_replica();
     let has_changes = || {
-        let complete = node.replica().complete_revision(&node.store.tables);
+        let complete = node.replica().complete_revision(&tables);
         complete.is_some_and(|complete| complete > after)
     };
     while follows_store(&node) && !has_changes() {
@@ -37,7 +41,7 @@
             break;
         }
     }
-    respond_with_batch(&node, after)
+    respond_with_batch(&node, after, &tables)
 }
 
 /// Returns whether this VM currently receives changes directly from the store.
@@ -45,11 +49,11 @@
     node.is_store_available() && store::watches_store(node)
 }
 
-fn respond_with_batch(node: &Rc<Node>, after: Revision) -> HttpResponse {
+fn respond_with_batch(node: &Rc<Node>, after: Revision, tables: &[String]) -> HttpResponse {
     let batch = Batch {
         well: follows_store(node),
         settled: node.is_store_settled(),
-        ..node.replica().build_batch(after, &node.store.tables)
+        ..node.replica().build_batch(after, tables)
     };
     match wire::encode(&batch) {
         Ok(bytes) => {
@@ -67,9 +71,14 @@
     }
 }
 
-/// Returns the value of a query parameter, or `None` if it is missing or cannot be parsed.
-fn parse_value<T: FromStr>(query: &str, name: &str) -> Option<T> {
+/// Returns the text of a query parameter.
+fn query_value<'a>(query: &'a str, name: &str) -> Option<&'a str> {
     let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     let found = pairs.find(|(key, _)| *key == name);
-    found.and_then(|(_, value)| value.parse().ok())
+    found.map(|(_, value)| value)
+}
+
+/// Returns the value of a query parameter, or `None` if it is missing or cannot be parsed.
+fn parse_value<T: FromStr>(query: &str, name: &str) -> Option<T> {
+    query_value(query, name).and_then(|value| value.parse().ok())
 }
--- a/crates/gateway/src/store/pull.rs
+++ b/crates/gateway/src/store/pull.rs
@@ -24,6 +24,19 @@
     pub(super) store_age: Option<Duration>,
 }
 
+/// What is requested from another VM.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct RowsRequest<'a> {
+    /// Name of the table, or `None` for all tables.
+    pub(super) table: Option<&'a str>,
+    /// Revision after which the rows have changed.
+    pub(super) after: Revision,
+    /// Time by which the other VM may delay its response without newer rows.
+    pub(super) wait: Duration,
+    /// Time after which the call has failed, the wait included.
+    pub(super) timeout: Duration,
+}
+
 /// Pulls rows from a peer that is ahead, or from any peer while the store is unreachable, until
 /// the process ends.
 pub(crate) async fn pull_missing_rows(node: Rc<Node>) {
@@ -56,9 +69,15 @@
         return;
     };
     let after = node.complete_revision();
-    match fetch_batch(node, &peer, after, Duration::ZERO, PULL_TIMEOUT).await {
+    let request = RowsRequest {
+        table: None,
+        after,
+        wait: Duration::ZERO,
+        timeout: PULL_TIMEOUT,
+    };
+    match fetch_batch(node, &peer, request).await {
         Ok(PeerBatch { batch, .. }) => {
-            apply_batch(node, &batch, &peer.name);
+            apply_batch(node, &batch, &node.store.tables, &peer.name);
             log::info!(event = "pulled", vm = peer.name.as_str(), after:% = after, version:% = batch.revision, rows = batch.records.len(); "rows pulled from another VM");
         }
         Err(error) => {
@@ -67,9 +86,9 @@
     }
 }
 
-/// Applies a batch from another VM, unless it is of an older era. Known rows that are missing from
-/// a full snapshot have been deleted.
-pub(super) fn apply_batch(node: &Rc<Node>, batch: &Batch, peer: &str) {
+/// Applies a batch of the given tables from another VM, unless it is of an older era. Known rows
+/// that are missing from a full snapshot have been deleted.
+pub(super) fn apply_batch(node: &Rc<Node>, batch: &Batch, tables: &[String], peer: &str) {
     let (era, known) = (batch.revision.era(), node.replica().era());
     let is_newer_era = era > known;
     if batch.revision.version() == 0 || era < known || (is_newer_era && !batch.whole) {
@@ -80,7 +99,7 @@
     }
     let after_outage = !batch.settled && !node.is_store_settled();
     apply_records(node, &batch.records, after_outage, peer);
-    for table in &node.store.tables {
+    for table in tables {
         if batch.whole {
             let deletions = node
                 .replica()
@@ -107,8 +126,7 @@
         .cloned()
 }
 
-/// Requests the rows that changed after a revision from a peer. Without newer rows, the peer may
-/// delay its response by up to `wait`; the call has failed after `timeout`.
+/// Requests the rows that changed after a revision from a peer.
 ///
 /// # Errors
 /// A [`StoreError`] when the peer does not respond in time, rejects the request or sends a batch
@@ -116,15 +134,16 @@
 pub(super) async fn fetch_batch(
     node: &Rc<Node>,
     peer: &Member,
-    after: Revision,
-    wait: Duration,
-    timeout: Duration,
+    request: RowsRequest<'_>,
 ) -> Result<PeerBatch, StoreError> {
     let malformed = |error: &dyn std::fmt::Display| StoreError::Malformed(error.to_string());
     let address: SocketAddr = peer.peer.parse().map_err(|e| malformed(&e))?;
-    let path = format!("/records?after={after}&wait_ms={}", wait.as_millis());
-    let request = ClientRequest::get(address, &path, timeout);
-    let response = node.client.execute(request).await?;
+    let (after, wait_ms) = (request.after, request.wait.as_millis());
+    let table = request.table.map(|table| format!("&table={table}"));
+    let table = table.unwrap_or_default();
+    let path = format!("/records?after={after}&wait_ms={wait_ms}{table}");
+    let call = ClientRequest::get(address, &path, request.timeout);
+    let response = node.client.execute(call).await?;
     if response.status != 200 {
         return Err(StoreError::Rejected(response.status));
     }
--- a/crates/gateway/src/store/source.rs
+++ b/crates/gateway/src/store/source.rs
@@ -5,7 +5,7 @@
 //! its source fails or cannot reach the store, a VM watches the store itself for a while.
 
 use {
-    super::pull::{PeerBatch, apply_batch, fetch_batch},
+    super::pull::{PeerBatch, RowsRequest, apply_batch, fetch_batch},
     crate::Node,
     catalog::WatchTimeouts,
     std::{rc::Rc, time::Duration},
@@ -17,17 +17,24 @@
 /// Interval between checks while this VM has no source to poll.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Long-polls the update source for rows until the process ends, whenever this VM has one.
-pub(crate) async fn poll_source(node: Rc<Node>) {
+/// Long-polls the update source for rows of a table until the process ends, whenever this VM has a
+/// source.
+pub(crate) async fn poll_source(node: Rc<Node>, table: String) {
+    let tables = [table];
     loop {
         let Some(source) = update_source(&node).filter(|_| !watches_store(&node)) else {
             tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
             continue;
         };
-        let after = node.complete_revision();
+        let after = node.replica().complete_revision(&tables);
         let timeouts = WatchTimeouts::new(node.bounds().change_time);
-        let (wait, timeout) = (timeouts.wait(), timeouts.timeout());
-        let failure = match fetch_batch(&node, &source, after, wait, timeout).await {
+        let request = RowsRequest {
+            table: Some(&tables[0]),
+            after: after.unwrap_or(node.replica().era_start()),
+            wait: timeouts.wait(),
+            timeout: timeouts.timeout(),
+        };
+        let failure = match fetch_batch(&node, &source, request).await {
             Ok(PeerBatch { batch, .. }) if batch.revision.era() < node.replica().era() => Some(
                 "source has not noticed that the store was restored from a snapshot".to_owned(),
             ),
@@ -35,7 +42,7 @@
                 if batch.well {
                     node.record_source_success(store_age);
                 }
-                apply_batch(&node, &batch, &source.name);
+                apply_batch(&node, &batch, &tables, &source.name);
                 (!batch.well).then(|| "source cannot reach the store".to_owned())
             }
             Err(error) => Some(error.to_string()),
