Do not send a call on a connection that has been idle for over a second

A VM whose update source had lost the store took 0.5 s and more beyond that to hear of a change itself.

Cause: its first own call went out on a connection that had been idle since it began to receive rows from its source (kept for up to 5 s), and that had gone silent meanwhile; only the timeout of the call showed it.

Evidence: log of a run in which vms store_silence added_route_is_served_in_time_ after_all_open_store_connections_went_silent failed (2.07 s of 2 s, two of ten runs, beside other tests): source_lost 1.36 s after the change, then no line until the rows were pulled from the source at 2.03 s; its own call was under way. With connections kept for 1 s, six runs of the three tests passed.

Change: connections to the store and to other VMs are kept for 1 s, in which the calls of a VM that watches or polls follow each other.

--- a/crates/gateway/src/http_client/request.rs
+++ b/crates/gateway/src/http_client/request.rs
@@ -11,7 +11,8 @@
 
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+/// A connection that was idle for longer may have gone silent, which only a timeout would show.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A request to the platform's store or to another VM.
 pub struct ClientRequest<'a> {
