Tell a member that makes contact that it counts as suspect or gone

Cause: a record is sent a bounded number of times (20 in a fleet of 12, 8 of 3), also while a partition loses every datagram. Afterwards the member was not told any more, so it never refuted it: both sides counted each other as gone, though they exchanged pings, until the record was dropped after two minutes.

Evidence: member view member_that_counts_as_gone_is_told_so_when_it_makes_contact_ again, red before.

Change: contact from a member whose known record supersedes the one that it sends makes this VM send it again. That was so only for an earlier incarnation.

--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -92,8 +92,9 @@
             Some(record) if is_same_version(&record.member, from) => {
                 record.member.control = record.member.control.max(from.control);
             }
-            // The sender has restarted with an earlier clock. It is told of the known incarnation.
-            Some(record) if record.member.boot_ms > from.boot_ms => record.sends = 0,
+            // The sender does not know what counts of it here: it is suspected or gone since a
+            // partition, or has restarted with an earlier clock. It is told, and refutes it.
+            Some(record) if supersedes(&record.member, from) => record.sends = 0,
             _ => self.merge_record(from, now),
         }
     }
--- a/crates/member/tests/view.rs
+++ b/crates/member/tests/view.rs
@@ -170,3 +170,22 @@
 
     assert!(observer.is_alive("a"));
 }
+
+// Guards against VMs that count each other as gone for minutes after a partition has ended.
+#[test]
+fn member_that_counts_as_gone_is_told_so_when_it_makes_contact_again() {
+    let mut view = view();
+    let mut other = View::new(member("a", 1, 0, Status::Alive), Timeouts::default());
+    view.record_contact(other.local_member(), at(1));
+    view.mark_suspect("a", at(2));
+    view.expire_members(at(9));
+    while !view.take_updates(1).is_empty() {
+        // Lost: the partition lasts until the record is no longer sent.
+    }
+
+    view.record_contact(other.local_member(), at(20));
+    other.merge(&view.take_updates(1), at(20));
+    view.record_contact(other.local_member(), at(21));
+
+    assert_eq!(serving_names(&view), ["a", "me"]);
+}
