--- a/crates/balance/src/selection.rs
+++ b/crates/balance/src/selection.rs
@@ -13,6 +13,18 @@
     OtherRegion,
 }
 
+impl Locality {
+    /// Returns the text for logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::SameZone => "zone",
+            Self::SameRegion => "region",
+            Self::OtherRegion => "other region",
+        }
+    }
+}
+
 /// Weights of the cost function. Fractions of the objective refer to the latency objective of
 /// the route.
 #[derive(Debug, Clone, Copy)]
--- a/crates/gateway/src/frontend/attempt.rs
+++ b/crates/gateway/src/frontend/attempt.rs
@@ -159,7 +159,7 @@
         .queue_owner
         .as_ref()
         .map_or("", |queue_owner| &queue_owner.name);
-    log::info!(event = "exchange", request = context.id.as_str(), target = dispatch.target.as_str(), through = through, outcome = outcome.as_str(), belief:? = dispatch.affinity, ahead = dispatch.requests_ahead, took_ms = took_ms; "exchange with the target completed");
+    log::info!(event = "exchange", request = context.id.as_str(), target = dispatch.target.as_str(), through = through, outcome = outcome.as_str(), belief:? = dispatch.affinity, locality = dispatch.locality.as_str(), ahead = dispatch.requests_ahead, took_ms = took_ms; "exchange with the target completed");
     metrics::counter!("cicadalift_exchanges_total", "outcome" => outcome.as_str()).increment(1);
 }
 
