Let the share of requests that prefer another region change at a bounded speed

Cause: the weight of a target in another region stepped from 0 to 0.3 or more when a route's estimated running time crossed a bound, on all VMs of a region at about the same moment (S1); and with the same weight, the share that prefers another region followed the number of its usable targets at once (S2).

Change: balance::RemoteShare, by route and service, follows the desired share by at most a fifth of the settings' max_shift per second (two fifths from one window to the next, the rest is left to chance), and gives the weight that results in it. A target elsewhere never weighs more than one here. Targets by region are counted with the round trip that was worked out each 0.5 s before. The running time without congestion starts at 0.25 of the objective in place of 0.4, which lay on the bound where the way takes 0.2: the share is right from the first request.

The test of the preselection passes the counts, as the product does.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -3,15 +3,18 @@
 use {
     crate::{
         Affinity, Candidate, Decision, Dispatch, EligibleTarget, LoadReport, PendingRequest,
-        PriorityReserve, RecentObjects, RunningTimes, Selection, SelectionPolicy, SlowStart,
-        Statements, TargetStats, Timing, WaitQueues, select_candidate,
+        PriorityReserve, RecentObjects, RemoteShare, RunningTimes, Selection, SelectionPolicy,
+        SlowStart, Statements, TargetStats, Timing, WaitQueues, select_candidate,
     },
     std::time::Duration,
     wire::Map,
 };
 
+/// Largest change per second of a share that prefers other regions, unless it is set.
+const DEFAULT_SHARE_SPEED: f64 = 0.03;
+
 /// The state of the load balancer of one VM.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Balancer {
     /// Weights of the cost function.
     pub policy: SelectionPolicy,
@@ -27,9 +30,40 @@
     pub(crate) recent_objects: RecentObjects,
     /// Running times by route.
     pub(crate) running_times: Map<String, RunningTimes>,
+    /// Largest change of a route's share of requests that prefer other regions, per second.
+    pub max_share_speed: f64,
+    /// By route and service, the share of the requests that prefer other regions.
+    pub(crate) remote_shares: Map<String, Map<String, RemoteShare>>,
+}
+
+impl Default for Balancer {
+    fn default() -> Self {
+        Self {
+            policy: SelectionPolicy::default(),
+            slow_start: SlowStart::default(),
+            statements: Statements::default(),
+            queues: WaitQueues::default(),
+            priority_reserve: PriorityReserve::default(),
+            target_stats: Map::default(),
+            recent_objects: RecentObjects::default(),
+            running_times: Map::default(),
+            max_share_speed: DEFAULT_SHARE_SPEED,
+            remote_shares: Map::default(),
+        }
+    }
 }
 
 impl Balancer {
+    /// Creates a balancer whose shares of requests that prefer other regions change by at most
+    /// `max_share_speed` per second.
+    #[must_use]
+    pub fn new(max_share_speed: f64) -> Self {
+        Self {
+            max_share_speed,
+            ..Self::default()
+        }
+    }
+
     /// Decides whether a request is sent to one of the eligible targets, waits for one or is
     /// refused.
     pub fn choose_target(
@@ -38,7 +72,8 @@
         targets: &[EligibleTarget<'_>],
         now: Duration,
     ) -> Decision {
-        let candidates = self.candidates(request, targets, now);
+        let remote_weight = self.follow_remote_weight(request, targets, now);
+        let candidates = self.candidates(request, targets, remote_weight, now);
         let times = self.running_times_mut(request.route, request.objective);
         let timing = Timing {
             cached_run_s: times.expected_s(Affinity::Known),
--- a/crates/balance/src/candidates.rs
+++ b/crates/balance/src/candidates.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        Affinity, Balancer, Candidate, EligibleTarget, Locality, PendingRequest, RunningTimes,
-        TargetStats, rendezvous_weight,
+        Affinity, Balancer, Candidate, EligibleTarget, Locality, PendingRequest, RemoteShare,
+        RunningTimes, TargetCounts, TargetStats, rendezvous_weight,
     },
     std::time::Duration,
 };
@@ -34,21 +34,15 @@
     /// estimated load.
     ///
     /// Targets in other regions are included only if the most preferred target is in one.
+    /// `remote_weight` is the weight of each of them.
     pub(crate) fn candidates<'a>(
         &self,
         request: &PendingRequest<'_>,
         targets: &[EligibleTarget<'a>],
+        remote_weight: f64,
         now: Duration,
     ) -> Vec<Candidate<'a>> {
         let key = request.key();
-        let has_local_target = targets
-            .iter()
-            .any(|eligible| eligible.locality != Locality::OtherRegion);
-        let remote_weight = if has_local_target {
-            self.remote_weight(request, targets)
-        } else {
-            LOCAL_WEIGHT
-        };
         let mut ranked: Vec<(f64, &EligibleTarget<'a>)> = Vec::with_capacity(targets.len());
         for eligible in targets {
             ranked.push((preference(key, eligible, remote_weight), eligible));
@@ -98,11 +92,56 @@
         candidates
     }
 
-    /// Returns the weight of targets in other regions.
+    /// Returns the weight of targets in other regions. It follows the desired one, such that the
+    /// share of the requests that prefer them changes at a bounded speed.
+    pub(crate) fn follow_remote_weight(
+        &mut self,
+        request: &PendingRequest<'_>,
+        targets: &[EligibleTarget<'_>],
+        now: Duration,
+    ) -> f64 {
+        let eligible = count_targets(targets);
+        if eligible.local == 0 {
+            return LOCAL_WEIGHT;
+        }
+        if eligible.remote == 0 {
+            return 0.0;
+        }
+        let desired = self.desired_remote_weight(request, targets);
+        let counts = request.target_counts.unwrap_or(eligible);
+        let max_speed = self.max_share_speed;
+        self.remote_share(request, desired, counts, now)
+            .follow(desired, counts, max_speed, now)
+    }
+
+    /// Borrows the share of the request's route and service. That of a new service of the route
+    /// begins where the route was.
+    fn remote_share(
+        &mut self,
+        request: &PendingRequest<'_>,
+        desired: f64,
+        counts: TargetCounts,
+        now: Duration,
+    ) -> &mut RemoteShare {
+        let shares = self
+            .remote_shares
+            .entry(request.route.to_owned())
+            .or_default();
+        let previous = shares.values().next().copied();
+        shares
+            .entry(request.service.to_owned())
+            .or_insert_with(|| previous.unwrap_or_else(|| RemoteShare::new(desired, counts, now)))
+    }
+
+    /// Returns the weight of targets in other regions that suits the current estimates.
     ///
     /// It is zero if no other region can respond well within the latency objective: requests
     /// that would be late there do not relieve this region.
-    fn remote_weight(&self, request: &PendingRequest<'_>, targets: &[EligibleTarget<'_>]) -> f64 {
+    fn desired_remote_weight(
+        &self,
+        request: &PendingRequest<'_>,
+        targets: &[EligibleTarget<'_>],
+    ) -> f64 {
         let remote = targets
             .iter()
             .filter(|eligible| eligible.locality == Locality::OtherRegion);
@@ -196,6 +235,15 @@
     }
 }
 
+fn count_targets(targets: &[EligibleTarget<'_>]) -> TargetCounts {
+    let is_remote = |eligible: &&EligibleTarget<'_>| eligible.locality == Locality::OtherRegion;
+    let remote = targets.iter().filter(is_remote).count();
+    TargetCounts {
+        local: targets.len() - remote,
+        remote,
+    }
+}
+
 /// Returns the preference of a key for a target, by weighted rendezvous hashing. Of any number of
 /// targets, each is the most preferred one for a share of the keys proportional to its weight.
 fn preference(key: &str, eligible: &EligibleTarget<'_>, remote_weight: f64) -> f64 {
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -10,6 +10,7 @@
 mod preselection;
 mod priority_reserve;
 mod recent_objects;
+mod remote_share;
 mod rendezvous;
 mod request;
 mod retry_budget;
@@ -26,6 +27,7 @@
 pub use preselection::{Preselection, Side, preselect_targets};
 pub use priority_reserve::PriorityReserve;
 pub use recent_objects::RecentObjects;
+pub use remote_share::{RemoteShare, TargetCounts};
 pub use rendezvous::rendezvous_weight;
 pub use request::{Decision, Dispatch, EligibleTarget, PendingRequest};
 pub use retry_budget::{RetryBudget, RetryRule};
--- a/crates/balance/src/request.rs
+++ b/crates/balance/src/request.rs
@@ -1,7 +1,7 @@
 //! The input and the result of a load-balancing decision.
 
 use {
-    crate::{Affinity, Locality, QueueKey},
+    crate::{Affinity, Locality, QueueKey, TargetCounts},
     catalog::Target,
     std::time::Duration,
 };
@@ -29,6 +29,8 @@
     pub time_left: Duration,
     /// Round trip to the nearest other region, if it is known beyond the eligible targets.
     pub remote_round_trip: Option<Duration>,
+    /// Targets that may run the request, if more are known than the eligible ones.
+    pub target_counts: Option<TargetCounts>,
 }
 
 impl<'a> PendingRequest<'a> {
--- a/crates/balance/src/running_times.rs
+++ b/crates/balance/src/running_times.rs
@@ -14,6 +14,9 @@
 const TIMEOUT_TOLERANCE_S: f64 = 0.05;
 /// Initial running time with the object cached, as a fraction of the latency objective.
 const INITIAL_CACHED: f64 = 0.4;
+/// Initial uncongested running time, as a fraction of the latency objective. It is well within the
+/// time in which another region has to respond, so that requests may move there from the start.
+const INITIAL_UNCONGESTED: f64 = 0.25;
 /// Initial running time without the object cached, as a fraction of the latency objective.
 const INITIAL_UNCACHED: f64 = 1.2;
 
@@ -48,7 +51,7 @@
         Self {
             cached_s: objective_s * INITIAL_CACHED,
             uncached_s: objective_s * INITIAL_UNCACHED,
-            uncongested_s: objective_s * INITIAL_CACHED,
+            uncongested_s: objective_s * INITIAL_UNCONGESTED,
             max_caller_timeout: 0.0,
         }
     }
--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -5,7 +5,7 @@
 use {
     balance::{
         Affinity, Balancer, Decision, Dispatch, EligibleTarget, LoadReport, Locality,
-        PendingRequest, QueueKey, preselect_targets,
+        PendingRequest, QueueKey, TargetCounts, preselect_targets,
     },
     catalog::Target,
     fixtures::target,
@@ -42,6 +42,7 @@
         local_wait: Duration::ZERO,
         time_left: Duration::from_secs(4),
         remote_round_trip: None,
+        target_counts: None,
     }
 }
 
@@ -502,11 +503,18 @@
         eligible(target, locality)
     };
     let all: Vec<EligibleTarget<'_>> = targets.iter().map(as_eligible).collect();
+    let counts = TargetCounts {
+        local: 30,
+        remote: 270,
+    };
     let mut balancer = Balancer::default();
 
     for number in 0..500 {
         let object = number.to_string();
-        let request = request(&object, 0, 1);
+        let request = PendingRequest {
+            target_counts: Some(counts),
+            ..request(&object, 0, 1)
+        };
         let with_side = targets.iter().map(|target| (target, is_remote(target)));
         let preselection = preselect_targets(request.key(), with_side);
         let sides = [&preselection.local, &preselection.remote];
--- a/crates/balance/tests/limited_targets.rs
+++ b/crates/balance/tests/limited_targets.rs
@@ -45,6 +45,7 @@
         local_wait: Duration::ZERO,
         time_left: Duration::from_secs(4),
         remote_round_trip: None,
+        target_counts: None,
     }
 }
 
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -11,5 +11,6 @@
 
 pub(crate) use queue_owners::{AVOID_TIME, Path, QueueOwner, QueueOwners};
 pub(crate) use request::{Assignment, QueueEntry, RequestContext, Reservation, Selection};
+pub(crate) use selection::RegionSummary;
 pub use state::Node;
 pub(crate) use state::duration_ms;
--- a/crates/gateway/src/node/request.rs
+++ b/crates/gateway/src/node/request.rs
@@ -52,6 +52,7 @@
             local_wait: now.saturating_sub(self.arrived_at),
             time_left: self.deadline.saturating_sub(now),
             remote_round_trip: None,
+            target_counts: None,
         }
     }
 
--- a/crates/gateway/src/node/selection.rs
+++ b/crates/gateway/src/node/selection.rs
@@ -3,7 +3,8 @@
 use {
     super::{Node, Path, QueueOwner, RequestContext, Reservation, Selection},
     balance::{
-        Decision, EligibleTarget, Locality, PendingRequest, QueueKey, select_warmup_senders,
+        Decision, EligibleTarget, Locality, PendingRequest, QueueKey, TargetCounts,
+        select_warmup_senders,
     },
     catalog::{Catalog, Target},
     route::Route,
@@ -18,8 +19,17 @@
     Duration::from_millis(40),
 ];
 
-/// Time for which the round trip to the nearest other region is taken to stay the same.
-const REMOTE_ROUND_TRIP_VALIDITY: Duration = Duration::from_millis(500);
+/// Time for which a summary of the targets by region is used.
+const REGION_SUMMARY_VALIDITY: Duration = Duration::from_millis(500);
+
+/// The targets that may run the requests of a route at one of its services, by region.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RegionSummary {
+    valid_until: Duration,
+    /// Round trip to the nearest target in another region.
+    remote_round_trip: Option<Duration>,
+    counts: TargetCounts,
+}
 
 impl Node {
     /// Decides whether a request is sent to a target now, waits for one or is refused. If it is
@@ -28,7 +38,9 @@
         let now = self.now();
         let catalog = self.catalog.borrow();
         let mut pending = request.pending_request(now);
-        pending.remote_round_trip = self.remote_round_trip(request, &catalog, now);
+        let summary = self.region_summary(request, &catalog, now);
+        pending.remote_round_trip = summary.remote_round_trip;
+        pending.target_counts = Some(summary.counts);
         let eligible = self.eligible_targets(request, &pending, &catalog, now);
         let decision = self
             .balancer
@@ -143,34 +155,54 @@
         })
     }
 
-    /// Returns the round trip to the nearest target of a service in another region, or `None` if
-    /// there is none. It is worked out anew at an interval.
-    fn remote_round_trip(
+    /// Returns the targets that may run a request by region. They are counted anew at an interval.
+    fn region_summary(
         &self,
         request: &RequestContext,
         catalog: &Catalog,
         now: Duration,
-    ) -> Option<Duration> {
-        let mut cached = self.remote_round_trips.borrow_mut();
-        if let Some((valid_until, round_trip)) = cached.get(&request.service)
-            && now < *valid_until
+    ) -> RegionSummary {
+        let mut summaries = self.region_summaries.borrow_mut();
+        let summaries = summaries.entry(request.route.name.clone()).or_default();
+        if let Some(summary) = summaries.get(&request.service)
+            && now < summary.valid_until
         {
-            return *round_trip;
+            return *summary;
         }
-        let targets = catalog.usable_targets(&request.service);
-        let remote = targets.filter(|target| self.is_remote(target));
-        let round_trips = remote.map(|target| {
+        let summary = self.summarize_regions(request, catalog, now);
+        summaries.insert(request.service.clone(), summary);
+        summary
+    }
+
+    fn summarize_regions(
+        &self,
+        request: &RequestContext,
+        catalog: &Catalog,
+        now: Duration,
+    ) -> RegionSummary {
+        let mut summary = RegionSummary {
+            valid_until: now + REGION_SUMMARY_VALIDITY,
+            remote_round_trip: None,
+            counts: TargetCounts::default(),
+        };
+        for target in catalog.usable_targets(&request.service) {
             let is_cold = catalog.is_cold(&target.id, now);
+            let is_ejected = self.balancer.borrow().is_ejected(&target.id, now);
+            let is_excluded = is_cold || is_ejected || !self.is_region_allowed(request, target);
+            if !self.is_remote(target) {
+                summary.counts.local += usize::from(!is_excluded);
+                continue;
+            }
+            summary.counts.remote += usize::from(!is_excluded);
             let queue_owner = match self.path_to(request, target, is_cold, now) {
                 Path::Through(owner) => Some(owner),
                 Path::Direct | Path::Closed => None,
             };
-            self.estimate_distance(target, queue_owner.as_ref()).1
-        });
-        let nearest = round_trips.min();
-        let valid_until = now + REMOTE_ROUND_TRIP_VALIDITY;
-        cached.insert(request.service.clone(), (valid_until, nearest));
-        nearest
+            let round_trip = self.estimate_distance(target, queue_owner.as_ref()).1;
+            let nearest = summary.remote_round_trip.unwrap_or(round_trip);
+            summary.remote_round_trip = Some(nearest.min(round_trip));
+        }
+        summary
     }
 
     /// Returns how a request reaches a target. One that another VM relayed is already at the queue
@@ -221,6 +253,13 @@
         self.client.set_max_idle(smallest_limit / 2 / vm_count);
     }
 
+    /// Returns whether the route of a request allows the region of a target.
+    fn is_region_allowed(&self, request: &RequestContext, target: &Target) -> bool {
+        let region = self.settings.region_of(&target.zone);
+        let allowed_regions = &request.route.allowed_regions;
+        allowed_regions.is_empty() || allowed_regions.iter().any(|allowed| allowed == region)
+    }
+
     /// Returns the locality of a target and the time that the round trips to it take, or `None`
     /// if the request may not go there: another target is assigned, the region is not allowed
     /// by the route, or the target was already tried.
@@ -230,10 +269,7 @@
         target: &Target,
         queue_owner: Option<&QueueOwner>,
     ) -> Option<(Locality, Duration)> {
-        let region = self.settings.region_of(&target.zone);
-        let allowed_regions = &request.route.allowed_regions;
-        let is_region_allowed =
-            allowed_regions.is_empty() || allowed_regions.iter().any(|allowed| allowed == region);
+        let is_region_allowed = self.is_region_allowed(request, target);
         let is_other_assigned = request
             .assignment
             .as_ref()
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -76,8 +76,8 @@
     /// Holds the time at which this VM began to leave.
     leaving: watch::Sender<Option<Duration>>,
     pub(crate) queue_owners: RefCell<super::QueueOwners>,
-    /// By service, the round trip to the nearest other region and until when it is valid.
-    pub(crate) remote_round_trips: RefCell<Map<String, (Duration, Option<Duration>)>>,
+    /// By route and service, the targets by region.
+    pub(crate) region_summaries: RefCell<Map<String, Map<String, super::RegionSummary>>>,
     socket: RefCell<Option<Rc<crate::peers::Socket>>>,
 }
 
@@ -102,6 +102,7 @@
             gone_retention: GONE_RETENTION,
         };
         let view = View::new(local_member(&settings), timeouts);
+        let balancer = Balancer::new(settings.bounds.max_share_speed());
         Self {
             bounds: RefCell::new(settings.bounds.clone()),
             settings,
@@ -112,7 +113,7 @@
             route_table: RefCell::default(),
             service_rotations: RefCell::default(),
             catalog: RefCell::default(),
-            balancer: RefCell::default(),
+            balancer: RefCell::new(balancer),
             retry_budgets: RefCell::default(),
             quarantine: RefCell::default(),
             crash_reports: RefCell::default(),
@@ -130,7 +131,7 @@
             source_bypass_until: Cell::new(Duration::ZERO),
             leaving: watch::Sender::new(None),
             queue_owners: RefCell::default(),
-            remote_round_trips: RefCell::default(),
+            region_summaries: RefCell::default(),
             socket: RefCell::default(),
         }
     }
@@ -142,6 +143,7 @@
 
     /// Replaces the bounds in force.
     pub(crate) fn set_bounds(&self, bounds: Bounds) {
+        self.balancer.borrow_mut().max_share_speed = bounds.max_share_speed();
         *self.bounds.borrow_mut() = bounds;
     }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -6,6 +6,11 @@
     wire::Map,
 };
 
+/// Time in which [`Bounds::max_shift`] limits the requests that change their region.
+const SHIFT_WINDOW: Duration = Duration::from_secs(2);
+/// Part of [`Bounds::max_shift`] that decisions may use up; the rest is left to chance.
+const SHIFT_FRACTION: f64 = 0.4;
+
 /// Limits set by the operators. They can be reloaded while the process runs.
 #[derive(Debug, Clone)]
 pub struct Bounds {
@@ -15,6 +20,9 @@
     pub max_ttl: Duration,
     /// Time in which a confirmed change of routes or targets has to be in force.
     pub change_time: Duration,
+    /// Largest part of a region's requests that may change their region within
+    /// [`SHIFT_WINDOW`].
+    pub max_shift: f64,
     /// Retry budget, shared by all VMs.
     pub retry: RetryRule,
     /// Factor applied to the configured request rate of a cold target.
@@ -23,6 +31,15 @@
     pub warmup_slack: f64,
 }
 
+impl Bounds {
+    /// Returns the largest change per second of the share of a route's requests that prefer other
+    /// regions.
+    #[must_use]
+    pub fn max_share_speed(&self) -> f64 {
+        SHIFT_FRACTION * self.max_shift / SHIFT_WINDOW.as_secs_f64()
+    }
+}
+
 /// Settings of a VM: its name, location, addresses and limits.
 #[derive(Debug, Clone)]
 pub struct Settings {
--- a/crates/measure/src/simulation/simulator.rs
+++ b/crates/measure/src/simulation/simulator.rs
@@ -189,6 +189,7 @@
             local_wait: waited,
             time_left: Duration::from_millis(kind.deadline_ms).saturating_sub(waited),
             remote_round_trip: None,
+            target_counts: None,
         };
         let eligible_targets: Vec<EligibleTarget<'_>> =
             find_eligible_targets(self.workload, &self.targets, kind, request.region);
