Accept callers only once other VMs can discover this one

Cause: a VM was ready as soon as it had routes and targets, some milliseconds before it was registered. If its way to the store was cut in between, no VM knew it and it could not list the others, so nobody told it of any change.

Change: a VM is ready once it is registered, which is one call when its row is there from before, or 2 s after its start.

--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -24,6 +24,8 @@
 /// Time after the end of a store outage in which missing target rows may still be renewed:
 /// targets rewrite their rows within about two seconds.
 const SETTLE_TIME: Duration = Duration::from_millis(2500);
+/// Time after the start from which a VM accepts callers although it could not register.
+const MAX_REGISTRATION_WAIT: Duration = Duration::from_secs(2);
 /// Time after which the record of a gone VM is removed.
 const GONE_RETENTION: Duration = Duration::from_mins(2);
 
@@ -73,6 +75,8 @@
     pub(super) era_changes: watch::Sender<u64>,
     /// Time until which this VM watches the store itself because its update source failed.
     source_bypass_until: Cell<Duration>,
+    /// Whether the other VMs can discover this one.
+    is_registered: Cell<bool>,
     /// Holds the time at which this VM began to leave.
     leaving: watch::Sender<Option<Duration>>,
     pub(crate) queue_owners: RefCell<super::QueueOwners>,
@@ -129,6 +133,7 @@
             era_tracker: Cell::default(),
             era_changes: watch::Sender::new(0),
             source_bypass_until: Cell::new(Duration::ZERO),
+            is_registered: Cell::new(false),
             leaving: watch::Sender::new(None),
             queue_owners: RefCell::default(),
             region_summaries: RefCell::default(),
@@ -326,10 +331,17 @@
         self.route_table().version() > 0 && !self.catalog.borrow().is_empty()
     }
 
-    /// Returns whether this VM accepts new callers.
+    /// Records that this VM is registered, so that the other VMs can discover it.
+    pub(crate) fn record_registration(&self) {
+        self.is_registered.set(true);
+    }
+
+    /// Returns whether this VM accepts new callers. It waits until the other VMs can discover it:
+    /// if it lost the store before that, nobody would tell it of changes.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.has_routes_and_targets() && self.leaving_since().is_none()
+        let is_registered = self.is_registered.get() || self.now() >= MAX_REGISTRATION_WAIT;
+        is_registered && self.has_routes_and_targets() && self.leaving_since().is_none()
     }
 
     /// Returns the time at which this VM began to leave, or `None` if it is not leaving.
--- a/crates/gateway/src/store/registration.rs
+++ b/crates/gateway/src/store/registration.rs
@@ -24,6 +24,7 @@
         log::warn!(event = "register_failed", reason:% = error; "this VM could not be registered; retrying");
         tokio::time::sleep(RETRY_DELAY).await;
     }
+    node.record_registration();
     log::info!(event = "registered", vm = node.settings.name.as_str(); "this VM is registered in the store");
     let mut is_failing = false;
     loop {
