Let other VMs send in place of one that reaches no target

Change: balance::Reachability; a connection that cannot be opened leads to a check of four targets, and if none accepts, the VM is cut off: it relays what it would send itself, declines what is relayed to it, and counts no failures as the targets'.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -265,6 +265,13 @@
         stats.is_some_and(|stats| stats.health.is_ejected(now))
     }
 
+    /// Ends all ejections, as the failures that led to them were not those of the targets.
+    pub fn end_ejections(&mut self) {
+        for stats in self.target_stats.values_mut() {
+            stats.health.record_success();
+        }
+    }
+
     /// Discards the statistics, statements and cached objects of a target that has restarted. Requests of
     /// this VM that are still in flight there remain counted.
     pub fn reset_target(&mut self, target: &str) {
--- a/crates/gateway/src/frontend/attempt.rs
+++ b/crates/gateway/src/frontend/attempt.rs
@@ -4,7 +4,8 @@
     crate::{
         Node,
         http_client::{
-            Attempt, NotExecutedReason, Outcome, ResponseFault, StreamEnd, TargetRequest,
+            Attempt, NotExecutedReason, Outcome, ResponseFault, StreamEnd, TARGET_CONNECT_TIMEOUT,
+            TargetRequest,
             relay::{RelayContext, RelayOutcome},
         },
         node::{AVOID_TIME, QueueOwner, RequestContext, Reservation},
@@ -13,13 +14,14 @@
     std::{net::SocketAddr, rc::Rc, time::Duration},
 };
 
-/// Without this limit, connecting to a target that has lost power would wait until the deadline.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Number of VMs that are asked to relay a request, one after the other.
+const MAX_RELAYS: usize = 3;
 
-/// Sends a request to a target, through the VM that owns the target's queue if there is another.
+/// Sends a request to a target, through the VM that owns the target's queue if there is another, or
+/// through others in turn if this VM reaches no target.
 ///
 /// # Errors
-/// Returns the delay after which that VM expects room if the target is full.
+/// Returns the delay after which the target is expected to have room, or to be reached again.
 pub(super) async fn attempt_target(
     node: &Rc<Node>,
     context: &RequestContext,
@@ -27,62 +29,74 @@
     reservation: &Reservation,
     fingerprint: &str,
 ) -> Result<Outcome, Duration> {
-    if let Some(queue_owner) = &reservation.queue_owner {
-        match relay_to_owner(node, context, request, reservation, queue_owner).await {
+    let target = &reservation.dispatch.target;
+    let mut relay = reservation.queue_owner.clone();
+    for _ in 0..MAX_RELAYS {
+        let Some(vm) = &relay else {
+            break;
+        };
+        let relayed = relay_through(node, context, request, reservation, vm);
+        match relayed.await {
             RelayOutcome::Completed {
                 outcome,
                 running_time,
             } => {
-                record_relayed_outcome(
-                    node,
-                    context,
-                    reservation,
-                    &outcome,
+                let exchange = RelayedExchange {
+                    through: &vm.name,
+                    outcome: &outcome,
                     running_time,
-                    fingerprint,
-                );
+                };
+                record_relayed_exchange(node, context, reservation, &exchange, fingerprint);
                 return Ok(observe_body(node, context, reservation, outcome));
             }
             RelayOutcome::Full {
                 retry_after,
                 feedback,
             } => {
-                let dispatch = &reservation.dispatch;
-                let (target, sent_at) = (&dispatch.target, dispatch.sent_at);
+                let sent_at = reservation.dispatch.sent_at;
                 node.record_owner_statements(target, &feedback, sent_at, &context.id);
-                node.record_full(&dispatch.target, retry_after);
+                node.record_full(target, retry_after);
                 return Err(retry_after);
             }
-            RelayOutcome::NotServed { feedback } => {
-                let dispatch = &reservation.dispatch;
-                let (target, sent_at) = (&dispatch.target, dispatch.sent_at);
+            RelayOutcome::NotServed {
+                feedback,
+                is_cut_off,
+            } => {
+                let sent_at = reservation.dispatch.sent_at;
                 node.record_owner_statements(target, &feedback, sent_at, &context.id);
+                if is_cut_off {
+                    node.avoid_queue_owner(vm, node.now());
+                }
             }
             RelayOutcome::Unreachable => {
-                log::warn!(event = "keeper_unreachable", vm = queue_owner.name.as_str(), target = reservation.dispatch.target.as_str(), request = context.id.as_str(); "VM that owns the target's queue is unreachable; sending to the target directly, unless it has a rate limit, rests or leaves");
-                node.avoid_queue_owner(queue_owner, node.now());
+                log::warn!(event = "keeper_unreachable", vm = vm.name.as_str(), target = target.as_str(), request = context.id.as_str(); "VM that owns the target's queue is unreachable; sending to the target directly, unless it has a rate limit, rests or leaves");
+                node.avoid_queue_owner(vm, node.now());
             }
             RelayOutcome::NoResponse(outcome) => {
-                log::warn!(event = "keeper_silent", vm = queue_owner.name.as_str(), target = reservation.dispatch.target.as_str(), request = context.id.as_str(), outcome = outcome.as_str(); "VM that owns the target's queue returned no response; the request may have run");
-                node.avoid_queue_owner(queue_owner, node.now());
+                log::warn!(event = "keeper_silent", vm = vm.name.as_str(), target = target.as_str(), request = context.id.as_str(), outcome = outcome.as_str(); "VM that owns the target's queue returned no response; the request may have run");
+                node.avoid_queue_owner(vm, node.now());
                 return Ok(outcome);
             }
         }
-        if !node.may_send_past_owner(&reservation.dispatch.target) {
+        if !node.may_send_past_owner(target) {
             return Err(AVOID_TIME);
         }
+        relay = node.substitute_for(target);
+    }
+    if relay.is_some() {
+        return Err(AVOID_TIME);
     }
     Ok(send_directly(node, context, request, reservation, fingerprint).await)
 }
 
-async fn relay_to_owner(
+async fn relay_through(
     node: &Rc<Node>,
     context: &RequestContext,
     request: &TargetRequest,
     reservation: &Reservation,
-    queue_owner: &QueueOwner,
+    vm: &QueueOwner,
 ) -> RelayOutcome {
-    let attempt = build_attempt(node, context, reservation, queue_owner.address);
+    let attempt = build_attempt(node, context, reservation, vm.address);
     let waited = node.now().saturating_sub(context.arrived_at) + context.prior_wait;
     let relay_context = RelayContext {
         is_first_choice: reservation.dispatch.affinity != Affinity::Unknown,
@@ -93,25 +107,35 @@
         .await
 }
 
+/// An exchange with a target through another VM.
+struct RelayedExchange<'a> {
+    /// Name of that VM.
+    through: &'a str,
+    outcome: &'a Outcome,
+    /// Time that the target took to respond, if the VM states it.
+    running_time: Option<Duration>,
+}
+
 /// Updates load, quarantine and health statistics after an exchange through another VM.
 ///
 /// A lost connection counts as a rejection here, as the other VM tracks the target's failures.
-fn record_relayed_outcome(
+fn record_relayed_exchange(
     node: &Rc<Node>,
     context: &RequestContext,
     reservation: &Reservation,
-    outcome: &Outcome,
-    running_time: Option<Duration>,
+    exchange: &RelayedExchange<'_>,
     fingerprint: &str,
 ) {
     let now = node.now();
     let dispatch = &reservation.dispatch;
-    log_exchange(context, reservation, outcome, now);
+    let outcome = exchange.outcome;
+    log_exchange(context, dispatch, exchange.through, outcome, now);
     record_statements(node, context, dispatch, outcome, false);
     match outcome {
         Outcome::Answered(response) => {
             let mut balancer = node.balancer.borrow_mut();
-            balancer.record_relayed_response(dispatch, response.feedback.load, running_time, now);
+            let load = response.feedback.load;
+            balancer.record_relayed_response(dispatch, load, exchange.running_time, now);
             node.quarantine.borrow_mut().record_success(fingerprint);
         }
         Outcome::NotExecuted {
@@ -146,19 +170,16 @@
     }
 }
 
+/// Logs an exchange with a target. `through` names the VM that relayed the request, if any.
 fn log_exchange(
     context: &RequestContext,
-    reservation: &Reservation,
+    dispatch: &Dispatch,
+    through: &str,
     outcome: &Outcome,
     now: Duration,
 ) {
-    let dispatch = &reservation.dispatch;
     let took_ms =
         u64::try_from(now.saturating_sub(dispatch.sent_at).as_millis()).unwrap_or(u64::MAX);
-    let through = reservation
-        .queue_owner
-        .as_ref()
-        .map_or("", |queue_owner| &queue_owner.name);
     log::info!(event = "exchange", request = context.id.as_str(), target = dispatch.target.as_str(), through = through, outcome = outcome.as_str(), belief:? = dispatch.affinity, locality = dispatch.locality.as_str(), ahead = dispatch.requests_ahead, took_ms = took_ms; "exchange with the target completed");
     metrics::counter!("cicadalift_exchanges_total", "outcome" => outcome.as_str()).increment(1);
 }
@@ -173,7 +194,7 @@
         target_id: &reservation.dispatch.target,
         address,
         deadline: node.clock.instant_at(context.deadline),
-        connect_timeout: CONNECT_TIMEOUT,
+        connect_timeout: TARGET_CONNECT_TIMEOUT,
         needs_own_connection: false,
     }
 }
@@ -235,7 +256,7 @@
 ) {
     let now = node.now();
     let dispatch = &reservation.dispatch;
-    log_exchange(context, reservation, outcome, now);
+    log_exchange(context, dispatch, "", outcome, now);
     record_statements(node, context, dispatch, outcome, true);
     match outcome {
         Outcome::Answered(response) => {
@@ -256,7 +277,12 @@
             ..
         }
         | Outcome::TimedOut => {}
-        Outcome::NotExecuted { .. } => record_failure(node, context, reservation, now),
+        Outcome::NotExecuted { reason, .. } => {
+            record_failure(node, context, reservation, now);
+            if *reason == NotExecutedReason::Unreachable {
+                node.record_unreachable();
+            }
+        }
         Outcome::Indeterminate(ResponseFault::ConnectionLost) => {
             record_failure(node, context, reservation, now);
             // The VM that relayed the request counts the crash, as it sees every target that
--- a/crates/gateway/src/frontend/relayed.rs
+++ b/crates/gateway/src/frontend/relayed.rs
@@ -14,8 +14,8 @@
         http_client::{
             Outcome, TargetRequest,
             relay::{
-                FIRST_CHOICE_HEADER, FULL, NOT_SERVED, OUTCOME_HEADER, RETRY_AFTER_MS_HEADER,
-                RUNNING_TIME_MS_HEADER, TARGET_HEADER, WAITED_MS_HEADER,
+                CUT_OFF_HEADER, FIRST_CHOICE_HEADER, FULL, NOT_SERVED, OUTCOME_HEADER,
+                RETRY_AFTER_MS_HEADER, RUNNING_TIME_MS_HEADER, TARGET_HEADER, WAITED_MS_HEADER,
             },
         },
         node::{Assignment, RequestContext, duration_ms},
@@ -45,9 +45,20 @@
     let in_flight = InFlightGuard::new(&node);
     let (mut parts, body) = request.into_parts();
     let target = parts.headers.get(TARGET_HEADER).cloned();
-    let Some((context, head)) = parse_request(&node, &mut parts) else {
-        log::info!(event = "handed_back", reason = "unserved", version = node.route_table().version(); "relayed request not accepted: this VM does not serve its target");
+    let is_cut_off = node.is_cut_off();
+    let parsed = if is_cut_off {
+        None
+    } else {
+        parse_request(&node, &mut parts)
+    };
+    let Some((context, head)) = parsed else {
+        let reason = if is_cut_off { "cut off" } else { "unserved" };
+        log::info!(event = "handed_back", reason = reason, version = node.route_table().version(); "relayed request not accepted: this VM does not serve its target, or reaches none");
         let mut response = not_served_response("not served here");
+        if is_cut_off {
+            let headers = response.headers_mut();
+            headers.insert(CUT_OFF_HEADER, HeaderValue::from_static("1"));
+        }
         if let Some(target) = target.as_ref().and_then(|target| target.to_str().ok()) {
             let feedback = node.feedback(target);
             (node.header_names.feedback.encode)(&feedback, response.headers_mut());
--- a/crates/gateway/src/http_client/client.rs
+++ b/crates/gateway/src/http_client/client.rs
@@ -18,6 +18,8 @@
 /// Number of addresses with a round-trip estimate; all estimates are dropped when it is reached.
 const MAX_ROUND_TRIPS: usize = 4096;
 
+/// Idle timeout of a connection over which no request was sent.
+const UNUSED_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time allowed for a connection to accept another request after a response.
 const READY_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -72,6 +74,17 @@
         }
     }
 
+    /// Opens a connection to an address and keeps it for a request. Returns whether that succeeded
+    /// in time.
+    pub(crate) async fn try_connect(&self, address: SocketAddr, timeout: Duration) -> bool {
+        let opened = tokio::time::timeout(timeout, Connection::open(address)).await;
+        let Ok(Ok(connection)) = opened else {
+            return false;
+        };
+        self.check_in(address, connection, UNUSED_IDLE_TIMEOUT);
+        true
+    }
+
     /// Sets the maximum number of idle connections to each address.
     ///
     /// `max_idle` is the share of this VM, such that the idle connections of all VMs together leave
--- a/crates/gateway/src/http_client/relay.rs
+++ b/crates/gateway/src/http_client/relay.rs
@@ -30,6 +30,9 @@
 /// Response header: milliseconds that the target took to respond.
 pub(crate) const RUNNING_TIME_MS_HEADER: HeaderName = HeaderName::from_static("cicadalift-ran-ms");
 
+/// Response header, beside the outcome [`NOT_SERVED`]: present if the VM reaches no target.
+pub(crate) const CUT_OFF_HEADER: HeaderName = HeaderName::from_static("cicadalift-cut-off");
+
 /// Value of [`OUTCOME_HEADER`] when the target has no room before the deadline.
 pub(crate) const FULL: &str = "full";
 /// Value of [`OUTCOME_HEADER`] when the VM does not accept requests for the target.
@@ -61,6 +64,8 @@
     NotServed {
         /// What the VM knows of the target's statements.
         feedback: Feedback,
+        /// Whether the VM reaches no target.
+        is_cut_off: bool,
     },
     /// The VM cannot be reached.
     Unreachable,
@@ -131,6 +136,7 @@
         NOT_SERVED => {
             return RelayOutcome::NotServed {
                 feedback: (header_names.feedback.decode)(&raw.headers),
+                is_cut_off: raw.headers.contains_key(CUT_OFF_HEADER),
             };
         }
         ANSWERED => classify_response(header_names, request, raw),
--- a/crates/gateway/src/http_client/send.rs
+++ b/crates/gateway/src/http_client/send.rs
@@ -16,6 +16,9 @@
     tokio::time::Instant,
 };
 
+/// Time allowed for opening a connection to a target or a VM that relays to it. Without this limit,
+/// connecting to one that has lost power would wait until the deadline.
+pub(crate) const TARGET_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Idle connections are closed this long before the target may close them.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
 /// Idle timeout for targets that state none.
--- a/crates/gateway/src/launch.rs
+++ b/crates/gateway/src/launch.rs
@@ -5,6 +5,7 @@
         GatewayError, HeaderNames, HttpResponse, Node, ServerConfig, Settings, Store, frontend,
         http_client::Client,
         metrics,
+        node::check_reachability,
         peers::{self, Socket},
         serve_http, store,
     },
@@ -90,6 +91,7 @@
         hangup,
     ));
     tokio::task::spawn_local(clean_up_connections(node.clone()));
+    tokio::task::spawn_local(check_reachability(node.clone()));
     tokio::task::spawn_local(apply_delayed_changes(node.clone()));
 
     wait_for_stop_signal().await?;
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -3,6 +3,7 @@
 mod changes;
 mod eras;
 mod queue_owners;
+mod reachability;
 mod request;
 mod selection;
 mod state;
@@ -10,6 +11,7 @@
 mod vm_lookup;
 
 pub(crate) use queue_owners::{AVOID_TIME, Path, QueueOwner, QueueOwners};
+pub(crate) use reachability::check_reachability;
 pub(crate) use request::{Assignment, QueueEntry, RequestContext, Reservation, Selection};
 pub(crate) use selection::RegionSummary;
 pub use state::Node;
--- a/crates/gateway/src/node/queue_owners.rs
+++ b/crates/gateway/src/node/queue_owners.rs
@@ -47,8 +47,8 @@
 }
 
 impl QueueOwners {
-    fn is_avoided(&self, owner: &QueueOwner, now: Duration) -> bool {
-        let until = self.avoided_until.get(&owner.name);
+    fn is_avoided(&self, vm_name: &str, now: Duration) -> bool {
+        let until = self.avoided_until.get(vm_name);
         until.is_some_and(|until| now < *until)
     }
 }
@@ -65,7 +65,33 @@
             owners.cached.insert(target.id.clone(), elected.clone());
             elected
         });
-        owner.filter(|owner| !owners.is_avoided(owner, now))
+        owner.filter(|owner| !owners.is_avoided(&owner.name, now))
+    }
+
+    /// Returns another VM that sends requests to a target while this one reaches none: the live VM
+    /// with the highest rendezvous weight in the target's zone, then elsewhere. Those that were
+    /// unreachable or reached no target themselves are left out for a while.
+    pub(crate) fn substitute_sender(&self, target: &Target, now: Duration) -> Option<QueueOwner> {
+        let view = self.member_view();
+        let owners = self.queue_owners.borrow();
+        let mut vms = view.serving_members();
+        vms.retain(|vm| vm.name != self.settings.name && view.is_alive(&vm.name));
+        vms.retain(|vm| !owners.is_avoided(&vm.name, now));
+        let best = vms.into_iter().max_by_key(|vm| {
+            let weight = rendezvous_weight(&target.id, &vm.name);
+            (vm.zone == target.zone, weight)
+        })?;
+        Some(QueueOwner {
+            name: best.name.clone(),
+            address: best.peer.parse().ok()?,
+        })
+    }
+
+    /// Returns another VM that sends requests to a target if this VM reaches none.
+    pub(crate) fn substitute_for(&self, target: &str) -> Option<QueueOwner> {
+        let catalog = self.catalog.borrow();
+        let target = catalog.get(target).filter(|_| self.is_cut_off())?;
+        self.substitute_sender(target, self.now())
     }
 
     /// Returns how requests reach a target with a rate limit: through one VM, which keeps the limit
@@ -81,7 +107,7 @@
             elected
         });
         match path {
-            Path::Through(owner) if owners.is_avoided(&owner, now) => Path::Closed,
+            Path::Through(owner) if owners.is_avoided(&owner.name, now) => Path::Closed,
             path => path,
         }
     }
--- a/crates/gateway/src/node/selection.rs
+++ b/crates/gateway/src/node/selection.rs
@@ -218,14 +218,28 @@
         if request.assignment.is_some() {
             return Path::Direct;
         }
-        if self.is_rate_limited(&target.id) {
-            return self.limited_path(target, now);
+        let path = if self.is_rate_limited(&target.id) {
+            self.limited_path(target, now)
+        } else if is_cold {
+            Path::Direct
+        } else {
+            let owner = self.remote_queue_owner(target, now);
+            owner.map_or(Path::Direct, Path::Through)
+        };
+        if path == Path::Direct && self.is_cut_off() {
+            return self.path_while_cut_off(target, is_cold, now);
         }
-        if is_cold {
-            return Path::Direct;
+        path
+    }
+
+    /// Returns how requests reach a target to which this VM would send them itself, but cannot. The
+    /// rate of a limited or cold target is kept by this VM, so that no other one may take its place.
+    fn path_while_cut_off(&self, target: &Target, is_cold: bool, now: Duration) -> Path {
+        if is_cold || self.is_rate_limited(&target.id) {
+            return Path::Closed;
         }
-        let owner = self.remote_queue_owner(target, now);
-        owner.map_or(Path::Direct, Path::Through)
+        let sender = self.substitute_sender(target, now);
+        sender.map_or(Path::Closed, Path::Through)
     }
 
     /// Returns whether the rate limit of a cold target allows one more request from this VM.
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -5,7 +5,7 @@
         Bounds, Clock, HeaderNames, Registration, Settings, Store, StoreError, http_client::Client,
         peers::HeardStatement,
     },
-    balance::{Balancer, RetryBudget},
+    balance::{Balancer, Reachability, RetryBudget},
     catalog::{Catalog, EraTracker, RecordReplica},
     member::{Timeouts, View},
     route::{RouteTable, WeightedRoundRobin},
@@ -55,6 +55,10 @@
     pub(crate) crash_reports: RefCell<Vec<(wire::Crash, u32)>>,
     /// Statements of targets whose rows are not known yet.
     pub(crate) pending_statements: RefCell<Vec<HeardStatement>>,
+    /// Whether this VM reaches targets.
+    pub(super) reachability: RefCell<Reachability>,
+    /// Wakes the check of that.
+    pub(super) reachability_doubted: Notify,
     /// Wakes waiting requests when a request at a target completes.
     pub(crate) capacity_freed: Notify,
     /// Sequence number of the next request, for the order of the queues.
@@ -122,6 +126,8 @@
             quarantine: RefCell::default(),
             crash_reports: RefCell::default(),
             pending_statements: RefCell::default(),
+            reachability: RefCell::default(),
+            reachability_doubted: Notify::new(),
             capacity_freed: Notify::new(),
             next_sequence: Cell::new(0),
             in_flight: Cell::new(0),
--- a/crates/gateway/src/peers/crash.rs
+++ b/crates/gateway/src/peers/crash.rs
@@ -24,7 +24,8 @@
         tokio::time::sleep(CHECK_DELAY).await;
         let connect = TcpStream::connect(address);
         let result = tokio::time::timeout(CONNECT_TIMEOUT, connect).await;
-        if matches!(result, Ok(Ok(_))) {
+        // A VM that reaches no target cannot tell that this one has crashed.
+        if matches!(result, Ok(Ok(_))) || node.is_cut_off() {
             return;
         }
         let count = node
