Do not read the body of a response that cannot be used

What callers saw: a target that answers 200 without a signature, and then a body without length or end, kept each request until its deadline (2.51 s of 2.5 s) and a VM at 77 MB of 160.

Cause: identifier, statement of non-execution and signature were checked only after the whole body had been read.

Change: the head is checked first; if it cannot be used, the connection is closed at once, and the request goes to another target as after any broken response.

--- a/crates/gateway/src/http_client/send.rs
+++ b/crates/gateway/src/http_client/send.rs
@@ -6,7 +6,7 @@
         client::CheckIn, connection::Connection, response_body::is_streamed,
     },
     crate::HeaderNames,
-    balance::Field,
+    balance::{Feedback, Field},
     bytes::Bytes,
     http_body_util::Full,
     hyper::{
@@ -64,25 +64,48 @@
         attempt: &Attempt<'_>,
     ) -> Outcome {
         let http_request = build_request(header_names, request, attempt);
-        let mut raw = match self.send_and_receive(http_request, attempt).await {
-            Ok(raw) => raw,
-            Err(outcome) => return outcome,
-        };
+        let result = self.exchange(header_names, request, http_request, attempt);
+        result.await.unwrap_or_else(|outcome| outcome)
+    }
+
+    /// Sends a request and receives the response. The body of one that cannot be used is not read,
+    /// as it may have no end; its connection is closed.
+    async fn exchange(
+        self: &Rc<Self>,
+        header_names: &HeaderNames,
+        request: &TargetRequest,
+        http_request: Request<Full<Bytes>>,
+        attempt: &Attempt<'_>,
+    ) -> Result<Outcome, Outcome> {
+        let (response, connection) = self.send(http_request, attempt).await?;
+        check_head(header_names, request, response.status(), response.headers())?;
+        let mut raw = self.receive_body(response, connection, attempt).await?;
         let connection = raw.connection.take();
         let outcome = classify_response(header_names, request, raw);
         if let (Outcome::Answered(response), Some(connection)) = (&outcome, connection) {
             self.check_in_for(attempt, &response.headers)
                 .check_in_when_ready(connection);
         }
-        outcome
+        Ok(outcome)
     }
 
     /// Sends a request and returns the unchecked response.
     pub(super) async fn send_and_receive(
         self: &Rc<Self>,
-        mut request: Request<Full<Bytes>>,
+        request: Request<Full<Bytes>>,
         attempt: &Attempt<'_>,
     ) -> Result<RawResponse, Outcome> {
+        let (response, connection) = self.send(request, attempt).await?;
+        self.receive_body(response, connection, attempt).await
+    }
+
+    /// Sends a request and returns the head of the response, with the connection on which its body
+    /// follows.
+    async fn send(
+        &self,
+        mut request: Request<Full<Bytes>>,
+        attempt: &Attempt<'_>,
+    ) -> Result<(Response<Incoming>, Connection), Outcome> {
         let mut idle = if attempt.needs_own_connection {
             None
         } else {
@@ -116,7 +139,7 @@
                 },
                 Ok(Ok(response)) => response,
             };
-            return self.receive_body(response, connection, attempt).await;
+            return Ok((response, connection));
         }
     }
 
@@ -214,31 +237,44 @@
     http_request
 }
 
-/// Checks the request identifier, the statement of non-execution and the signature.
+/// Classifies a response whose body was received.
 pub(super) fn classify_response(
     header_names: &HeaderNames,
     request: &TargetRequest,
     raw: RawResponse,
 ) -> Outcome {
-    let RawResponse {
-        status,
-        headers,
-        body,
-        ..
-    } = raw;
-    let mut feedback = (header_names.feedback.decode)(&headers);
+    match check_head(header_names, request, raw.status, &raw.headers) {
+        Err(outcome) => outcome,
+        Ok(feedback) => Outcome::Answered(Box::new(TargetResponse {
+            status: raw.status,
+            headers: raw.headers,
+            body: raw.body,
+            feedback,
+        })),
+    }
+}
+
+/// Checks the request identifier, the statement of non-execution and the signature. Returns what the
+/// target states about itself, or the outcome if the response cannot be used.
+fn check_head(
+    header_names: &HeaderNames,
+    request: &TargetRequest,
+    status: StatusCode,
+    headers: &HeaderMap,
+) -> Result<Feedback, Outcome> {
+    let mut feedback = (header_names.feedback.decode)(headers);
     // With another status the header does not concern this VM.
     if status != StatusCode::SERVICE_UNAVAILABLE {
         feedback.rest = Field::Absent;
     }
     let echoed_id = headers.get(&header_names.request_id);
     if echoed_id.is_some_and(|echoed_id| *echoed_id != request.request_id) {
-        return Outcome::Indeterminate(ResponseFault::RequestIdMismatch);
+        return Err(Outcome::Indeterminate(ResponseFault::RequestIdMismatch));
     }
     let states_not_executed = headers.contains_key(&header_names.not_executed);
     if status == StatusCode::MISDIRECTED_REQUEST || states_not_executed {
         let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
-        return Outcome::NotExecuted {
+        return Err(Outcome::NotExecuted {
             reason: if is_misdirected {
                 NotExecutedReason::Misdirected
             } else {
@@ -246,20 +282,15 @@
             },
             // Another target may have sent a misdirected response.
             feedback: (!is_misdirected).then_some(feedback),
-        };
+        });
     }
     if echoed_id.is_none() {
-        return Outcome::Indeterminate(ResponseFault::RequestIdMismatch);
+        return Err(Outcome::Indeterminate(ResponseFault::RequestIdMismatch));
     }
     if status.is_success() && !headers.contains_key(&header_names.signature) {
-        return Outcome::Indeterminate(ResponseFault::Unsigned);
+        return Err(Outcome::Indeterminate(ResponseFault::Unsigned));
     }
-    Outcome::Answered(Box::new(TargetResponse {
-        status,
-        headers,
-        body,
-        feedback,
-    }))
+    Ok(feedback)
 }
 
 /// Returns the idle timeout that the `Keep-Alive` header states, less the margin,
