Bound a response body without a length, and count its buffer's capacity

Cause: one body could take all the memory that bodies have together (40 of 160 MB), so it was read until the deadline; and it counted by its bytes, while its buffer grew by doubling.

Change: a body that is read whole takes an eighth of that memory at most (5 MB with 160, 8 MB with 260; it was 32 MB or all), and its buffer's whole capacity is reserved, by which it grows by half. One of known length above 16 KiB is passed on while it arrives, as before, and not bounded by this.

--- a/crates/gateway/src/http_client/response_body.rs
+++ b/crates/gateway/src/http_client/response_body.rs
@@ -3,7 +3,7 @@
 use {
     super::{ResponseFault, client::CheckIn, connection::Connection},
     crate::memory::{MemoryBudget, MemoryReservation, OutOfMemory},
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     http_body_util::BodyExt,
     hyper::body::{Body, Frame, Incoming, SizeHint},
     std::{
@@ -15,8 +15,10 @@
     tokio::{task::AbortHandle, time::Instant},
 };
 
-/// Largest response body that is buffered.
+/// Largest response body that is buffered. One without a length may have no end.
 const MAX_BUFFERED_BYTES: usize = 32 * 1024 * 1024;
+/// A buffered body may take the memory of all bodies divided by this number.
+const BODY_MEMORY_DIVISOR: usize = 8;
 /// A longer body of known length is passed on while it arrives.
 const MIN_STREAMED_BYTES: u64 = 16 * 1024;
 /// Memory counted for a streamed body: the buffers of its two connections.
@@ -160,22 +162,23 @@
         mut incoming: Incoming,
         memory: &Rc<MemoryBudget>,
     ) -> Result<Self, ResponseFault> {
+        let max_bytes = MAX_BUFFERED_BYTES.min(memory.limit_bytes() / BODY_MEMORY_DIVISOR);
         let mut reservation = memory.empty_reservation();
-        let mut buffer = BytesMut::new();
+        let mut buffer = Vec::new();
         while let Some(frame) = incoming.frame().await {
             let frame = frame.map_err(|_| ResponseFault::Truncated)?;
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            if buffer.len() + data.len() > MAX_BUFFERED_BYTES {
+            if buffer.len() + data.len() > max_bytes {
                 return Err(ResponseFault::TooLarge);
             }
-            let grown = reservation.grow(data.len());
-            grown.map_err(|_| ResponseFault::TooLarge)?;
+            make_room(&mut buffer, data.len(), &mut reservation)
+                .map_err(|_| ResponseFault::TooLarge)?;
             buffer.extend_from_slice(&data);
         }
         Ok(Self(Content::Whole {
-            bytes: buffer.freeze(),
+            bytes: Bytes::from(buffer),
             _reservation: Some(reservation),
         }))
     }
@@ -196,6 +199,22 @@
     }
 }
 
+/// Grows a buffer by at least half, so that `bytes` more fit. Its whole capacity is reserved.
+fn make_room(
+    buffer: &mut Vec<u8>,
+    bytes: usize,
+    reservation: &mut MemoryReservation,
+) -> Result<(), OutOfMemory> {
+    let spare = buffer.capacity() - buffer.len();
+    if bytes <= spare {
+        return Ok(());
+    }
+    let growth = (bytes - spare).max(buffer.capacity() / 2);
+    reservation.grow(growth)?;
+    buffer.reserve_exact(spare + growth);
+    Ok(())
+}
+
 impl From<Bytes> for ResponseBody {
     fn from(bytes: Bytes) -> Self {
         Self(Content::Whole {
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -26,6 +26,11 @@
         })
     }
 
+    /// Returns the memory that all bodies together may take.
+    pub(crate) fn limit_bytes(&self) -> usize {
+        self.limit_bytes
+    }
+
     /// Returns a reservation of no memory, which can grow.
     pub(crate) fn empty_reservation(self: &Rc<Self>) -> MemoryReservation {
         MemoryReservation {
