Give an object whose targets rest the whole of the next target

Cause: an object that a target does not know gets at most half of its slots. While an object's own targets rest or are limited, the next one never comes to know it if the others keep half of its slots busy.

The new test of the balancer: Wait before, sent now.

Change: the first target that accepts requests stands in for those before it, as it did already for ejected ones.

--- a/crates/balance/src/candidates.rs
+++ b/crates/balance/src/candidates.rs
@@ -85,7 +85,10 @@
             }
             let is_remote = eligible.locality == Locality::OtherRegion;
             let in_preferred_region = prefers_remote == is_remote;
-            let candidate = self.candidate(request, eligible, in_preferred_region, rank, now);
+            // The next target takes the place of those before it that accept no requests now.
+            let is_first = accepting_count == 0;
+            let candidate =
+                self.candidate(request, eligible, in_preferred_region, is_first, rank, now);
             accepting_count += usize::from(!candidate.is_held_back());
             candidates.push(candidate);
         }
@@ -169,6 +172,7 @@
         request: &PendingRequest<'_>,
         eligible: &EligibleTarget<'a>,
         in_preferred_region: bool,
+        is_first: bool,
         rank: usize,
         now: Duration,
     ) -> Candidate<'a> {
@@ -185,7 +189,7 @@
             request.queue_key.priority,
             target.slots,
         );
-        let is_first_choice = rank == 0 && in_preferred_region && !eligible.is_fallback;
+        let is_first_choice = is_first && in_preferred_region && !eligible.is_fallback;
         let queued = to_f64(self.queues.count_ahead(&target.id, request.queue_key));
         let affinity = self.affinity(request, &target.id, is_first_choice);
         let hold = if eligible.has_remote_queue {
--- a/crates/balance/tests/limited_targets.rs
+++ b/crates/balance/tests/limited_targets.rs
@@ -198,3 +198,33 @@
 
     assert_eq!(balancer.statements.rest_left("a", NOW), Duration::ZERO);
 }
+
+/// Guards against an object whose target rests and that is refused for as long as the next one, which
+/// does not know it, has less than half of its slots free.
+#[test]
+fn object_of_a_target_without_room_gets_any_free_slot_of_the_next_one() {
+    let targets = [target("a", "z"), target("b", "z")];
+    let eligible: Vec<EligibleTarget<'_>> = targets.iter().map(|t| eligible(t, false)).collect();
+    let home = |object: &str| {
+        let decision = chosen(&mut Balancer::default(), object, &eligible);
+        sent_to(&decision).map(str::to_owned)
+    };
+    let objects: Vec<String> = (0..50).map(|n| n.to_string()).collect();
+    let mut of_b = objects
+        .iter()
+        .filter(|object| home(object).as_deref() == Some("b"));
+    let of_a = objects
+        .iter()
+        .find(|object| home(object).as_deref() == Some("a"));
+    let mut balancer = balancer_without_room(&["a"]);
+    for object in of_b.by_ref().take(2) {
+        let Decision::Send(dispatch) = chosen(&mut balancer, object, &eligible) else {
+            panic!("{object} was not sent");
+        };
+        balancer.record_dispatch(&dispatch, None, NOW);
+    }
+
+    let displaced = chosen(&mut balancer, of_a.expect("an object of a"), &eligible);
+
+    assert_eq!(sent_to(&displaced), Some("b"), "{displaced:?}");
+}
