--- /dev/null
+++ b/crates/gateway/src/node/region_summary.rs
@@ -0,0 +1,72 @@
+//! Counts the targets that may run the requests of a route, by region.
+
+use {
+    super::{Node, Path, RequestContext},
+    balance::TargetCounts,
+    catalog::Catalog,
+    std::time::Duration,
+};
+
+/// Time for which a summary of the targets by region is used.
+const REGION_SUMMARY_VALIDITY: Duration = Duration::from_millis(500);
+
+/// The targets that may run the requests of a route at one of its services, by region.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RegionSummary {
+    valid_until: Duration,
+    /// Round trip to the nearest target in another region.
+    pub(super) remote_round_trip: Option<Duration>,
+    pub(super) counts: TargetCounts,
+}
+
+impl Node {
+    /// Returns the targets that may run a request by region. They are counted anew at an interval.
+    pub(super) fn region_summary(
+        &self,
+        request: &RequestContext,
+        catalog: &Catalog,
+        now: Duration,
+    ) -> RegionSummary {
+        let mut summaries = self.region_summaries.borrow_mut();
+        let summaries = summaries.entry(request.route.name.clone()).or_default();
+        if let Some(summary) = summaries.get(&request.service)
+            && now < summary.valid_until
+        {
+            return *summary;
+        }
+        let summary = self.summarize_regions(request, catalog, now);
+        summaries.insert(request.service.clone(), summary);
+        summary
+    }
+
+    fn summarize_regions(
+        &self,
+        request: &RequestContext,
+        catalog: &Catalog,
+        now: Duration,
+    ) -> RegionSummary {
+        let mut summary = RegionSummary {
+            valid_until: now + REGION_SUMMARY_VALIDITY,
+            remote_round_trip: None,
+            counts: TargetCounts::default(),
+        };
+        for target in catalog.usable_targets(&request.service) {
+            let is_cold = catalog.is_cold(&target.id, now);
+            let is_ejected = self.balancer.borrow().is_ejected(&target.id, now);
+            let is_excluded = is_cold || is_ejected || !self.is_region_allowed(request, target);
+            if !self.is_remote(target) {
+                summary.counts.local += usize::from(!is_excluded);
+                continue;
+            }
+            summary.counts.remote += usize::from(!is_excluded);
+            let queue_owner = match self.path_to(request, target, is_cold, now) {
+                Path::Through(owner) => Some(owner),
+                Path::Direct | Path::Closed => None,
+            };
+            let round_trip = self.estimate_distance(target, queue_owner.as_ref()).1;
+            let nearest = summary.remote_round_trip.unwrap_or(round_trip);
+            summary.remote_round_trip = Some(nearest.min(round_trip));
+        }
+        summary
+    }
+}
--- a/crates/gateway/src/node/selection.rs
+++ b/crates/gateway/src/node/selection.rs
@@ -3,8 +3,7 @@
 use {
     super::{Node, Path, QueueOwner, RequestContext, Reservation, Selection},
     balance::{
-        Decision, EligibleTarget, Locality, PendingRequest, QueueKey, TargetCounts,
-        select_warmup_senders,
+        Decision, EligibleTarget, Locality, PendingRequest, QueueKey, select_warmup_senders,
     },
     catalog::{Catalog, Target},
     route::Route,
@@ -19,18 +18,6 @@
     Duration::from_millis(40),
 ];
 
-/// Time for which a summary of the targets by region is used.
-const REGION_SUMMARY_VALIDITY: Duration = Duration::from_millis(500);
-
-/// The targets that may run the requests of a route at one of its services, by region.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct RegionSummary {
-    valid_until: Duration,
-    /// Round trip to the nearest target in another region.
-    remote_round_trip: Option<Duration>,
-    counts: TargetCounts,
-}
-
 impl Node {
     /// Decides whether a request is sent to a target now, waits for one or is refused. If it is
     /// sent, it counts as in flight at the target until the reservation is dropped.
@@ -116,7 +103,7 @@
     }
 
     /// Returns whether a target is in another region.
-    fn is_remote(&self, target: &Target) -> bool {
+    pub(super) fn is_remote(&self, target: &Target) -> bool {
         target.zone != self.settings.zone
             && self.settings.region_of(&target.zone) != self.settings.region
     }
@@ -155,60 +142,10 @@
         })
     }
 
-    /// Returns the targets that may run a request by region. They are counted anew at an interval.
-    fn region_summary(
-        &self,
-        request: &RequestContext,
-        catalog: &Catalog,
-        now: Duration,
-    ) -> RegionSummary {
-        let mut summaries = self.region_summaries.borrow_mut();
-        let summaries = summaries.entry(request.route.name.clone()).or_default();
-        if let Some(summary) = summaries.get(&request.service)
-            && now < summary.valid_until
-        {
-            return *summary;
-        }
-        let summary = self.summarize_regions(request, catalog, now);
-        summaries.insert(request.service.clone(), summary);
-        summary
-    }
-
-    fn summarize_regions(
-        &self,
-        request: &RequestContext,
-        catalog: &Catalog,
-        now: Duration,
-    ) -> RegionSummary {
-        let mut summary = RegionSummary {
-            valid_until: now + REGION_SUMMARY_VALIDITY,
-            remote_round_trip: None,
-            counts: TargetCounts::default(),
-        };
-        for target in catalog.usable_targets(&request.service) {
-            let is_cold = catalog.is_cold(&target.id, now);
-            let is_ejected = self.balancer.borrow().is_ejected(&target.id, now);
-            let is_excluded = is_cold || is_ejected || !self.is_region_allowed(request, target);
-            if !self.is_remote(target) {
-                summary.counts.local += usize::from(!is_excluded);
-                continue;
-            }
-            summary.counts.remote += usize::from(!is_excluded);
-            let queue_owner = match self.path_to(request, target, is_cold, now) {
-                Path::Through(owner) => Some(owner),
-                Path::Direct | Path::Closed => None,
-            };
-            let round_trip = self.estimate_distance(target, queue_owner.as_ref()).1;
-            let nearest = summary.remote_round_trip.unwrap_or(round_trip);
-            summary.remote_round_trip = Some(nearest.min(round_trip));
-        }
-        summary
-    }
-
     /// Returns how a request reaches a target. One that another VM relayed is already at the queue
     /// owner. Requests to a target with a rate limit all go through one VM; a cold target without
     /// one gets requests only directly from the VMs selected for its warm-up.
-    fn path_to(
+    pub(super) fn path_to(
         &self,
         request: &RequestContext,
         target: &Target,
@@ -268,7 +205,7 @@
     }
 
     /// Returns whether the route of a request allows the region of a target.
-    fn is_region_allowed(&self, request: &RequestContext, target: &Target) -> bool {
+    pub(super) fn is_region_allowed(&self, request: &RequestContext, target: &Target) -> bool {
         let region = self.settings.region_of(&target.zone);
         let allowed_regions = &request.route.allowed_regions;
         allowed_regions.is_empty() || allowed_regions.iter().any(|allowed| allowed == region)
@@ -301,7 +238,7 @@
 
     /// Returns the locality of a target and the round-trip time to it, or to the owner of its
     /// queue. The time is measured when connections are opened and assumed until then.
-    fn estimate_distance(
+    pub(super) fn estimate_distance(
         &self,
         target: &Target,
         queue_owner: Option<&QueueOwner>,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -6,7 +6,7 @@
     wire::Map,
 };
 
-/// Time in which [`Bounds::max_shift`] limits the requests that change their region.
+/// Length of the windows that [`Bounds::max_shift`] compares.
 const SHIFT_WINDOW: Duration = Duration::from_secs(2);
 /// Part of [`Bounds::max_shift`] that decisions may use up; the rest is left to chance.
 const SHIFT_FRACTION: f64 = 0.4;
@@ -20,8 +20,8 @@
     pub max_ttl: Duration,
     /// Time in which a confirmed change of routes or targets has to be in force.
     pub change_time: Duration,
-    /// Largest part of a region's requests that may change their region within
-    /// [`SHIFT_WINDOW`].
+    /// Largest part of a region's requests that may change their region from one window of two
+    /// seconds to the next.
     pub max_shift: f64,
     /// Retry budget, shared by all VMs.
     pub retry: RetryRule,
