Known red: a target that leaves is used again when its row is renewed

Cause, read and shown by the new test: Entry::is_leaving ends with a row that says ready and arrives STAY_DELAY (5 s) after the last statement; a target that gets nothing states nothing, so each row renewed after that brings it back. The users' rule knows no such end, only a restart.

--- a/crates/catalog/tests/leaving.rs
+++ b/crates/catalog/tests/leaving.rs
@@ -88,3 +88,20 @@
     assert!(!is_new);
     assert!(catalog.is_usable(ID));
 }
+
+/// Guards against requests at a target that states that it leaves while its row is renewed as ready.
+#[test]
+fn renewed_rows_of_the_same_process_do_not_bring_the_target_back() {
+    let mut catalog = leaving_catalog();
+
+    let usable = (1..20).filter(|number| {
+        catalog.upsert(
+            target(1, 1 + number),
+            Revision::new(0, 1 + number),
+            at(1000 + 2000 * number),
+        );
+        catalog.is_usable(ID)
+    });
+
+    assert_eq!(usable.count(), 0);
+}
