--- a/crates/gateway/src/peers/records.rs
+++ b/crates/gateway/src/peers/records.rs
@@ -16,8 +16,10 @@
     HeaderName::from_static("cicadalift-store-age-ms");
 
 /// Answers a request for the rows of the table `table` that changed after the revision `after`, both
-/// in the query; without the former, for those of all tables. Without newer rows, the response is delayed by up to `wait_ms` milliseconds until there are some, or
-/// this VM loses the store.
+/// in the query; without the former, for those of all tables.
+///
+/// Without newer rows, the response is delayed by up to `wait_ms` milliseconds until there are some,
+/// or this VM loses the store.
 pub(crate) async fn serve_records(node: Rc<Node>, request: Request<Incoming>) -> HttpResponse {
     let query = request.uri().query().unwrap_or_default();
     let Some(after) = parse_value(query, "after") else {
