Keep a target that states that it leaves out of use until it restarts or drains and returns

Cause: a row of the same process counted as the store's newer word after STAY_DELAY, though a renewed row says nothing new. Leaving for good was unsafe before, as a refusal by the owner of a queue did not name the process that it spoke of, and a late response could be of the earlier one.

Change: a process that leaves is used again when it restarts, or when its row says draining and then ready. A response to a request from before the row of the process does not count either.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -14,10 +14,6 @@
 /// because some may have cooled down without reporting it.
 const EVACUATION_WARMUP: Duration = Duration::from_secs(2);
 
-/// A row of a target that stated that it leaves says that it stays only if it arrives this much
-/// later: the target may have written an earlier one before.
-const STAY_DELAY: Duration = Duration::from_secs(5);
-
 #[derive(Debug, Clone)]
 struct Entry {
     revision: Revision,
@@ -28,23 +24,26 @@
     cold_until: Duration,
     /// When a pending deletion takes effect.
     delete_at: Option<Duration>,
-    /// When the row was applied.
-    applied_at: Duration,
-    /// When the target last stated that it leaves.
+    /// When the first row of the target's process was applied.
+    process_known_since: Duration,
+    /// When a row brought the process back into service, if one did.
+    back_at: Option<Duration>,
+    /// When the process last stated that it leaves, unless it is back in service since.
     leaving_at: Option<Duration>,
 }
 
 impl Entry {
     /// Returns the target if it may receive new requests, its zone aside.
     fn usable_target(&self) -> Option<&Target> {
-        let is_usable = |t: &&Target| t.state == TargetState::Ready && !self.is_leaving();
+        let is_usable = |t: &&Target| t.state == TargetState::Ready && self.leaving_at.is_none();
         self.target.as_ref().filter(is_usable)
     }
 
-    /// Returns whether the target stated that it leaves, and no later row says that it stays.
-    fn is_leaving(&self) -> bool {
-        let stays = |at: Duration| self.applied_at >= at + STAY_DELAY;
-        self.leaving_at.is_some_and(|at| !stays(at))
+    /// Returns whether a row of the known process brings it back into service. One that is only
+    /// renewed does not: the store may not have been told that the target leaves.
+    fn is_brought_back_by(&self, next: &Target) -> bool {
+        let state = self.target.as_ref().map(|target| target.state);
+        state == Some(TargetState::Draining) && next.state == TargetState::Ready
     }
 
     /// Returns whether a row of another era holds an older state of the target than the one that
@@ -86,20 +85,21 @@
             return false;
         }
         let known = self.entries.get(&target.id);
-        let is_same_process = known
-            .and_then(|entry| entry.target.as_ref())
-            .is_some_and(|t| {
-                t.started_at_ms == target.started_at_ms && t.address == target.address
-            });
+        let continued = known.filter(|entry| {
+            let target_before = entry.target.as_ref();
+            target_before.is_some_and(|before| is_same_process(before, &target))
+        });
         let reported_cold_until = now + target.warmup_left;
-        let cold_until = match known {
-            Some(entry) if is_same_process && target.warmup_left.is_zero() => {
-                entry.cold_until.min(now)
-            }
+        let cold_until = match continued {
+            Some(entry) if target.warmup_left.is_zero() => entry.cold_until.min(now),
             _ => reported_cold_until,
         };
-        let leaving_at = known.filter(|_| is_same_process);
-        let leaving_at = leaving_at.and_then(|entry| entry.leaving_at);
+        let (back_at, leaving_at) = match continued {
+            Some(entry) if entry.is_brought_back_by(&target) => (Some(now), None),
+            Some(entry) => (entry.back_at, entry.leaving_at),
+            None => (None, None),
+        };
+        let process_known_since = continued.map_or(now, |entry| entry.process_known_since);
         let id = target.id.clone();
         let entry = Entry {
             revision,
@@ -107,7 +107,8 @@
             target: Some(target),
             cold_until,
             delete_at: None,
-            applied_at: now,
+            process_known_since,
+            back_at,
             leaving_at,
         };
         self.insert(id, entry);
@@ -142,7 +143,8 @@
                 last_report: known.and_then(|entry| entry.last_report),
                 cold_until: now,
                 delete_at: None,
-                applied_at: now,
+                process_known_since: now,
+                back_at: None,
                 leaving_at: None,
             },
         };
@@ -208,27 +210,40 @@
         }
     }
 
-    /// Records that a target stated at `stated_at` that it leaves, so that it receives no new
-    /// requests. Returns whether it received some before.
+    /// Records that the known process of a target stated at `stated_at` that it leaves, so that it
+    /// receives no new requests until it restarts, or its row says that it drains and then that it is
+    /// ready again. Returns whether it received some before.
     pub fn mark_leaving(&mut self, id: &str, stated_at: Duration) -> bool {
         let Some(entry) = self.entries.get_mut(id) else {
             return false;
         };
-        let was_leaving = entry.is_leaving();
+        if entry.back_at.is_some_and(|back_at| stated_at < back_at) {
+            return false;
+        }
+        let is_new = entry.leaving_at.is_none();
         entry.leaving_at = entry.leaving_at.max(Some(stated_at));
-        !was_leaving && entry.is_leaving()
+        is_new
+    }
+
+    /// Returns whether a request that was sent at `sent_at` can have reached the known process of a
+    /// target.
+    #[must_use]
+    pub fn is_of_known_process(&self, id: &str, sent_at: Duration) -> bool {
+        let entry = self.entries.get(id);
+        entry.is_some_and(|entry| sent_at >= entry.process_known_since)
     }
 
     /// Returns whether the target stated that it leaves.
     #[must_use]
     pub fn is_leaving(&self, id: &str) -> bool {
-        self.entries.get(id).is_some_and(Entry::is_leaving)
+        let entry = self.entries.get(id);
+        entry.is_some_and(|entry| entry.leaving_at.is_some())
     }
 
     /// Returns the targets that stated that they leave, each with when it did so last.
     pub fn leaving_targets(&self) -> impl Iterator<Item = (&Target, Duration)> {
-        let leaving = self.entries.values().filter(|entry| entry.is_leaving());
-        leaving.filter_map(|entry| Some((entry.target.as_ref()?, entry.leaving_at?)))
+        let entries = self.entries.values();
+        entries.filter_map(|entry| Some((entry.target.as_ref()?, entry.leaving_at?)))
     }
 
     /// Returns the targets of a service that may receive new requests, in no particular order.
@@ -300,3 +315,8 @@
         self.entries.insert(id, entry);
     }
 }
+
+/// Returns whether two rows are of the same process of a target.
+fn is_same_process(a: &Target, b: &Target) -> bool {
+    (a.started_at_ms, a.address) == (b.started_at_ms, b.address)
+}
--- a/crates/gateway/src/frontend/attempt.rs
+++ b/crates/gateway/src/frontend/attempt.rs
@@ -51,19 +51,19 @@
             }
             RelayOutcome::Full {
                 retry_after,
-                feedback,
+                statements,
             } => {
                 let sent_at = reservation.dispatch.sent_at;
-                node.record_owner_statements(target, &feedback, sent_at, &context.id);
+                node.record_owner_statements(target, &statements, sent_at, &context.id);
                 node.record_full(target, retry_after);
                 return Err(retry_after);
             }
             RelayOutcome::NotServed {
-                feedback,
+                statements,
                 is_cut_off,
             } => {
                 let sent_at = reservation.dispatch.sent_at;
-                node.record_owner_statements(target, &feedback, sent_at, &context.id);
+                node.record_owner_statements(target, &statements, sent_at, &context.id);
                 if is_cut_off {
                     node.avoid_queue_owner(vm, node.now());
                 }
--- a/crates/gateway/src/frontend/relayed.rs
+++ b/crates/gateway/src/frontend/relayed.rs
@@ -15,7 +15,8 @@
             Outcome, TargetRequest,
             relay::{
                 CUT_OFF_HEADER, FIRST_CHOICE_HEADER, FULL, NOT_SERVED, OUTCOME_HEADER,
-                RETRY_AFTER_MS_HEADER, RUNNING_TIME_MS_HEADER, TARGET_HEADER, WAITED_MS_HEADER,
+                RETRY_AFTER_MS_HEADER, RUNNING_TIME_MS_HEADER, STARTED_AT_MS_HEADER, TARGET_HEADER,
+                WAITED_MS_HEADER,
             },
         },
         node::{Assignment, RequestContext, duration_ms},
@@ -60,8 +61,7 @@
             headers.insert(CUT_OFF_HEADER, HeaderValue::from_static("1"));
         }
         if let Some(target) = target.as_ref().and_then(|target| target.to_str().ok()) {
-            let feedback = node.feedback(target);
-            (node.header_names.feedback.encode)(&feedback, response.headers_mut());
+            state_target(&node, target, response.headers_mut());
         }
         return response;
     };
@@ -157,8 +157,7 @@
                 &RETRY_AFTER_MS_HEADER,
                 duration_ms(retry_after),
             );
-            let feedback = node.feedback(target);
-            (node.header_names.feedback.encode)(&feedback, response.headers_mut());
+            state_target(node, target, response.headers_mut());
             return response;
         }
     };
@@ -181,6 +180,16 @@
     response
 }
 
+/// Adds to a refusal what this VM knows of the target, and of which process of it.
+fn state_target(node: &Node, target: &str, headers: &mut HeaderMap) {
+    let feedback = node.feedback(target);
+    (node.header_names.feedback.encode)(&feedback, headers);
+    let started_at_ms = node.catalog.borrow().get(target).map(|t| t.started_at_ms);
+    if let Some(started_at_ms) = started_at_ms {
+        set_number(headers, &STARTED_AT_MS_HEADER, started_at_ms);
+    }
+}
+
 fn is_ejected(node: &Node, context: &RequestContext) -> bool {
     let balancer = node.balancer.borrow();
     let assignment = context.assignment.as_ref();
--- a/crates/gateway/src/http_client/relay.rs
+++ b/crates/gateway/src/http_client/relay.rs
@@ -33,6 +33,11 @@
 /// Response header, beside the outcome [`NOT_SERVED`]: present if the VM reaches no target.
 pub(crate) const CUT_OFF_HEADER: HeaderName = HeaderName::from_static("cicadalift-cut-off");
 
+/// Response header, beside the outcomes [`FULL`] and [`NOT_SERVED`]: when the process of the target
+/// started of which the VM knows, in milliseconds of its own clock. Missing if the target is not known.
+pub(crate) const STARTED_AT_MS_HEADER: HeaderName =
+    HeaderName::from_static("cicadalift-started-at-ms");
+
 /// Value of [`OUTCOME_HEADER`] when the target has no room before the deadline.
 pub(crate) const FULL: &str = "full";
 /// Value of [`OUTCOME_HEADER`] when the VM does not accept requests for the target.
@@ -46,6 +51,24 @@
     pub(crate) waited: Duration,
 }
 
+/// What a VM that refuses a relayed request knows of its target.
+pub(crate) struct OwnerStatements {
+    /// What the target stated.
+    pub(crate) feedback: Feedback,
+    /// Start time of the process that stated it; `None` if the VM does not know the target, or is of
+    /// a build that does not say.
+    pub(crate) started_at_ms: Option<u64>,
+}
+
+impl OwnerStatements {
+    fn parse(header_names: &HeaderNames, headers: &HeaderMap) -> Self {
+        Self {
+            feedback: (header_names.feedback.decode)(headers),
+            started_at_ms: parse_number(headers, &STARTED_AT_MS_HEADER),
+        }
+    }
+}
+
 /// Result of relaying a request through another VM.
 pub(crate) enum RelayOutcome {
     /// The VM accepted the request and returned the outcome, or the deadline passed first.
@@ -57,13 +80,11 @@
     /// The target has no room before the deadline; the request was not sent.
     Full {
         retry_after: Duration,
-        /// What the VM knows of the target's statements.
-        feedback: Feedback,
+        statements: OwnerStatements,
     },
     /// The VM did not accept the request.
     NotServed {
-        /// What the VM knows of the target's statements.
-        feedback: Feedback,
+        statements: OwnerStatements,
         /// Whether the VM reaches no target.
         is_cut_off: bool,
     },
@@ -130,12 +151,12 @@
         FULL => {
             return RelayOutcome::Full {
                 retry_after,
-                feedback: (header_names.feedback.decode)(&raw.headers),
+                statements: OwnerStatements::parse(header_names, &raw.headers),
             };
         }
         NOT_SERVED => {
             return RelayOutcome::NotServed {
-                feedback: (header_names.feedback.decode)(&raw.headers),
+                statements: OwnerStatements::parse(header_names, &raw.headers),
                 is_cut_off: raw.headers.contains_key(CUT_OFF_HEADER),
             };
         }
@@ -160,8 +181,11 @@
 }
 
 fn parse_millis(headers: &HeaderMap, name: &HeaderName) -> Option<Duration> {
-    let value = headers.get(name)?.to_str().ok()?;
-    value.parse().ok().map(Duration::from_millis)
+    parse_number(headers, name).map(Duration::from_millis)
+}
+
+fn parse_number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
 }
 
 fn to_millis(time: Duration) -> u64 {
--- a/crates/gateway/src/node/statements.rs
+++ b/crates/gateway/src/node/statements.rs
@@ -1,8 +1,8 @@
 //! Takes over what targets state about themselves.
 
 use {
-    super::{Node, state::duration_ms},
-    crate::peers::broadcast_statements,
+    super::{AVOID_TIME, Node, state::duration_ms},
+    crate::{http_client::relay::OwnerStatements, peers::broadcast_statements},
     balance::{Change, Feedback, Field, Gossip},
     std::{rc::Rc, time::Duration},
 };
@@ -60,7 +60,9 @@
         if let Field::Stated(rest) = feedback.rest {
             self.record_rest(target, rest, request_id, is_direct);
         }
+        let is_of_known_process = self.catalog.borrow().is_of_known_process(target, sent_at);
         let is_newly_leaving = feedback.leaving == Field::Stated(true)
+            && is_of_known_process
             && self.mark_leaving(target, self.now(), request_id, "");
         let change = {
             let mut balancer = self.balancer.borrow_mut();
@@ -78,16 +80,21 @@
 
     /// Takes over what the VM that owns a target's queue knows of the target and refused the request
     /// `request_id` for. That VM may not know yet what the target stated, so only what it knows
-    /// counts.
+    /// counts. It may also not know yet that the target has restarted; then nothing does.
     pub(crate) fn record_owner_statements(
         self: &Rc<Self>,
         target: &str,
-        feedback: &Feedback,
+        owner: &OwnerStatements,
         sent_at: Duration,
         request_id: &str,
     ) {
+        let started_at_ms = self.catalog.borrow().get(target).map(|t| t.started_at_ms);
+        if owner.started_at_ms.is_some() && owner.started_at_ms != started_at_ms {
+            return;
+        }
+        let feedback = &owner.feedback;
         if feedback.leaving == Field::Stated(true) {
-            self.mark_leaving(target, self.now(), request_id, "");
+            self.record_leaving_by_owner(target, owner, request_id);
         }
         if let Field::Stated(_) = feedback.rate_limit {
             self.record_statements(target, feedback, sent_at, request_id, false);
@@ -96,6 +103,16 @@
         }
     }
 
+    /// Stops sending to a target that leaves as the owner of its queue says. A VM of an earlier build
+    /// does not say of which process of the target, so that its word counts only for a while.
+    fn record_leaving_by_owner(&self, target: &str, owner: &OwnerStatements, request_id: &str) {
+        if owner.started_at_ms.is_some() {
+            self.mark_leaving(target, self.now(), request_id, "");
+        } else {
+            self.record_rest(target, AVOID_TIME, request_id, false);
+        }
+    }
+
     /// Stops sending new requests to a target that stated that it leaves. Returns whether it received
     /// some before.
     pub(crate) fn mark_leaving(
