--- a/crates/gateway/src/errors.rs
+++ b/crates/gateway/src/errors.rs
@@ -23,6 +23,20 @@
     Malformed(String),
 }
 
+impl StoreError {
+    /// Returns a name for the kind of error, for metrics.
+    #[must_use]
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::NoResponse(_) => "no response",
+            Self::Rejected(_) => "rejected",
+            Self::HistoryTruncated => "history truncated",
+            Self::Conflict => "conflict",
+            Self::Malformed(_) => "malformed",
+        }
+    }
+}
+
 /// Why the process cannot start or continue.
 #[derive(Debug, thiserror::Error)]
 pub enum GatewayError {
