Let a few VMs of a zone ask a store that is away, not each VM whose source lost it

Cause: a VM whose update source says that it does not reach the store, does not watch it (yet), or does not respond, watched the store itself for 3 s, so that at a start and in an outage every VM did. Ruled out: heartbeats of targets (a calm feed returns no rows).

Change: balance::updates, a module without network, elects the watchers of a zone, one for 40 VMs. A source that is uninformed is passed over for 0.2 s at first, up to 1.6 s, and at most three standbys take its place; a source that does not respond is passed over for 3 s and does not count, so that a VM that is cut off from all others still watches itself. Other VMs wait, and pull rows from whoever is heard to be ahead. A VM reads each table once at its start and does not watch in its first second. After changes the next call follows after a tenth of the time allowed for a change instead of 120 ms; calls wait 0.4 of that time instead of 0.5, so that the sum is as before. A follower counts the store as away when its source has not heard of it for that long.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -20,7 +20,7 @@
 mod senders;
 mod slow_start;
 mod target_stats;
-mod update_source;
+pub mod updates;
 mod wait_queues;
 
 pub use balancer::Balancer;
@@ -38,5 +38,4 @@
 pub use senders::select_senders;
 pub use slow_start::{SlowStart, select_warmup_senders};
 pub use target_stats::{LoadReport, TargetStats};
-pub use update_source::select_update_source;
 pub use wait_queues::{QueueKey, WaitQueues};
--- a/crates/catalog/src/watch_timeouts.rs
+++ b/crates/catalog/src/watch_timeouts.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 /// Part of the time allowed for a change that a call waits for changes.
-const WAIT_FRACTION: f64 = 0.5;
+const WAIT_FRACTION: f64 = 0.4;
+/// Part of the time allowed for a change after which the next call is made if the last one brought
+/// changes, so that further ones arrive together.
+const BATCH_FRACTION: f64 = 0.1;
 /// Part of the time allowed for a change that the response to a call may take at first, on top of
 /// that wait.
 const MARGIN_FRACTION: f64 = 0.2;
@@ -14,8 +17,8 @@
 
 /// Timeouts of the calls by which a VM waits for changes of one table.
 ///
-/// Until a call times out, a silent store cannot be told from one without changes. The wait and the
-/// time for the response together therefore stay well below the time in which a change has to be in
+/// Until a call times out, a silent store cannot be told from one without changes. The delay before
+/// the call, the wait and the time for the response together therefore stay well below the time in which a change has to be in
 /// force. After a failed call the next one does not wait, so that a store that is back is noticed
 /// at once.
 #[derive(Debug, Clone, Copy)]
@@ -46,6 +49,12 @@
         self.margin = self.margin.clamp(self.min_margin(), self.max_margin());
     }
 
+    /// Returns the time between a call that brought changes and the next one.
+    #[must_use]
+    pub fn batch_delay(&self) -> Duration {
+        self.change_time.mul_f64(BATCH_FRACTION)
+    }
+
     /// Returns how long the next call waits for changes.
     #[must_use]
     pub fn wait(&self) -> Duration {
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -5,7 +5,7 @@
         Bounds, Clock, HeaderNames, Registration, Settings, Store, http_client::Client,
         peers::HeardStatement,
     },
-    balance::{Balancer, Reachability, RetryBudget},
+    balance::{Balancer, Reachability, RetryBudget, updates::Sources},
     catalog::{Catalog, EraTracker, RecordReplica},
     member::{Timeouts, View},
     route::{RouteTable, WeightedRoundRobin},
@@ -74,8 +74,10 @@
     pub(super) era_tracker: Cell<EraTracker>,
     /// Wakes the calls that began in an earlier era. Counts the eras that have begun.
     pub(super) era_changes: watch::Sender<u64>,
-    /// Time until which this VM watches the store itself because its update source failed.
-    source_bypass_until: Cell<Duration>,
+    /// The VMs from which this one may receive rows, and the generation of the member view that they
+    /// are of.
+    pub(crate) update_sources: RefCell<Sources>,
+    pub(crate) sources_generation: Cell<Option<u64>>,
     /// Whether the other VMs can discover this one.
     is_registered: Cell<bool>,
     /// Holds the time at which this VM began to leave.
@@ -128,7 +130,8 @@
             replica_changes: watch::Sender::new(()),
             era_tracker: Cell::default(),
             era_changes: watch::Sender::new(0),
-            source_bypass_until: Cell::new(Duration::ZERO),
+            update_sources: RefCell::default(),
+            sources_generation: Cell::default(),
             is_registered: Cell::new(false),
             leaving: watch::Sender::new(None),
             queue_owners: RefCell::default(),
@@ -216,16 +219,6 @@
         self.replica_changes.subscribe()
     }
 
-    /// Makes this VM watch the store itself, without its update source, until a time.
-    pub(crate) fn bypass_source_until(&self, until: Duration) {
-        self.source_bypass_until.set(until);
-    }
-
-    /// Returns whether this VM watches the store itself because its update source failed recently.
-    pub(crate) fn is_bypassing_source(&self) -> bool {
-        self.now() < self.source_bypass_until.get()
-    }
-
     /// Returns whether this VM has routes and targets, without which it cannot serve requests.
     #[must_use]
     pub fn has_routes_and_targets(&self) -> bool {
--- a/crates/gateway/src/store/watch.rs
+++ b/crates/gateway/src/store/watch.rs
@@ -8,8 +8,6 @@
     wire::Record,
 };
 
-/// Delay before the next call after changes, so that further changes arrive together.
-const BATCH_DELAY: Duration = Duration::from_millis(120);
 /// Delay after the first failed call; doubled after each further one.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(600);
@@ -19,15 +17,17 @@
 /// Name of the store in logs, beside those of VMs from which rows may come too.
 const STORE_NAME: &str = "store";
 
-/// Watches a table until the process ends, whenever this VM is one of those that watch the
-/// store. The table is first read in full, and again if the store does not have its changes since
-/// the known revision, or is restored from an older snapshot.
+/// Reads a table in full, then watches it until the process ends, whenever this VM is one of those
+/// that watch the store. The table is read again if the store does not have its changes since the
+/// known revision, or is restored from an older snapshot.
 pub(crate) async fn watch_table(node: Rc<Node>, table: String) {
     let mut timeouts = WatchTimeouts::new(node.bounds().change_time);
     let mut retry_delay = MIN_RETRY_DELAY;
     let mut needs_full_read = false;
+    let mut is_new = true;
     loop {
-        if !watches_store(&node) {
+        is_new &= node.replica().table_revision(&table).is_none();
+        if !is_new && !watches_store(&node) {
             tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
             continue;
         }
@@ -115,7 +115,7 @@
     apply_records(node, &changes.records, after_outage, STORE_NAME);
     node.mark_table_complete(table, changes.revision);
     if !changes.records.is_empty() {
-        tokio::time::sleep(BATCH_DELAY).await;
+        tokio::time::sleep(timeouts.batch_delay()).await;
     }
     Ok(())
 }
