Send a VM that is far behind the rows in parts that arrive in time; pass suspicions on

Cause: 1,209 targets register within 2 s, and the watcher of 33 VMs sends each of 32 followers all of it over a link of 20 Mbit/s; calls time out and start again from the beginning. A suspicion that is taken over with all records of a member was not passed on, so that the suspect did not hear of it and could not refute it.

Tests: peer_that_is_far_behind_catches_up_in_parts (not possible before: one batch of 300), and records_taken_over_are_not_gossiped_again_unless_they_are_suspicions (red before).

--- a/crates/catalog/src/replica.rs
+++ b/crates/catalog/src/replica.rs
@@ -7,6 +7,9 @@
 
 /// Number of tombstones kept, so that peers can learn of deletions.
 const MAX_TOMBSTONES: usize = 4096;
+/// Number of changes in a batch for a peer, so that one that has to catch up gets them in parts which
+/// arrive in time over a slow link. More if further ones are of the same revision.
+const MAX_BATCH_CHANGES: usize = 128;
 
 /// Rows of one era by table and key. Each is a [`Record`], which holds the revision of the row's
 /// last change; a deleted row remains as a tombstone, a record without value.
@@ -126,7 +129,8 @@
     ///
     /// A VM that read a table in full does not know of earlier deletions. A peer that is further
     /// behind than that read, or of an older era, therefore gets all rows, marked as `whole`. A
-    /// peer of a newer era gets no rows. The caller fills in whether the store is reachable
+    /// peer of a newer era gets no rows. Of many changes the batch holds the oldest, and its revision is
+    /// that of the last one. The caller fills in whether the store is reachable
     /// (`well`, `settled`).
     #[must_use]
     pub fn build_batch(&self, after: Revision, tables: &[String]) -> Batch {
@@ -138,9 +142,11 @@
         let whole = base_revision.is_some_and(|base| after < base);
         let mut records = self.changes_since(if whole { Revision::default() } else { after });
         records.retain(|record| tables.contains(&record.table));
+        let complete = self.complete_revision(tables).unwrap_or(self.era_start());
+        let cut_at = (!whole).then(|| cut_to_batch(&mut records)).flatten();
         Batch {
             records,
-            revision: self.complete_revision(tables).unwrap_or(self.era_start()),
+            revision: cut_at.map_or(complete, |revision| revision.min(complete)),
             whole,
             well: false,
             settled: false,
@@ -214,3 +220,15 @@
         }
     }
 }
+
+/// Removes the changes that do not fit in a batch, from the oldest on. Returns the revision up to
+/// which the batch holds them, if some were removed.
+fn cut_to_batch(changes: &mut Vec<Record>) -> Option<Revision> {
+    let last = changes.get(MAX_BATCH_CHANGES - 1)?.revision;
+    let length = changes.partition_point(|change| change.revision <= last);
+    if length == changes.len() {
+        return None;
+    }
+    changes.truncate(length);
+    Some(last)
+}
--- a/crates/catalog/tests/records.rs
+++ b/crates/catalog/tests/records.rs
@@ -363,3 +363,33 @@
         prop_assert_eq!(live_rows(&second), store.live_rows());
     }
 }
+
+/// Guards against VMs that start together and all wait for one large batch over the slow link of the
+/// VM that has the rows, until their calls time out.
+#[test]
+fn peer_that_is_far_behind_catches_up_in_parts() {
+    let rows: Vec<Record> = (0..300)
+        .map(|number| record(&format!("k{number:03}"), 2 + number / 2, Some("x")))
+        .collect();
+    let mut source = RecordReplica::default();
+    source.mark_complete("t", at(1));
+    for row in &rows {
+        source.apply(row);
+    }
+    source.mark_complete("t", at(200));
+    let mut peer = replica_of(&[], 1);
+
+    let mut sizes = Vec::new();
+    while peer.table_revision("t") < Some(at(200)) && sizes.len() < 10 {
+        let after = peer.table_revision("t").unwrap_or_default();
+        let batch = source.build_batch(after, &tables());
+        for row in &batch.records {
+            peer.apply(row);
+        }
+        peer.mark_complete("t", batch.revision);
+        sizes.push(batch.records.len());
+    }
+
+    assert_eq!(sizes, [128, 128, 44]);
+    assert_eq!(peer.changes_since(at(0)), source.changes_since(at(0)));
+}
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -106,13 +106,14 @@
         }
     }
 
-    /// Merges all records of a peer. They are not gossiped again, as the other members get them in the
-    /// same way.
+    /// Merges all records of a peer. Those of live members are not gossiped again, as the other members
+    /// get them in the same way. A suspected one has to hear of it soon.
     pub fn merge_all(&mut self, members: &[Member], now: Duration) {
         for member in members {
             self.merge_record(member, now);
             if let Some(record) = self.others.get_mut(&member.name)
                 && is_same_version(&record.member, member)
+                && member.status == Status::Alive
             {
                 record.sends = u32::MAX;
             }
--- a/crates/member/tests/sync.rs
+++ b/crates/member/tests/sync.rs
@@ -166,15 +166,19 @@
 }
 
 #[test]
-fn records_taken_over_are_not_gossiped_again() {
+fn records_taken_over_are_not_gossiped_again_unless_they_are_suspicions() {
     let mut view = View::new(vm_member(0, 1, Status::Alive), Timeouts::default());
 
-    view.merge_all(&[vm_member(1, 1, Status::Alive)], Duration::ZERO);
-    view.merge(&[vm_member(2, 1, Status::Alive)], Duration::ZERO);
+    let records = [
+        vm_member(1, 1, Status::Alive),
+        vm_member(2, 1, Status::Suspect),
+    ];
+    view.merge_all(&records, Duration::ZERO);
+    view.merge(&[vm_member(3, 1, Status::Alive)], Duration::ZERO);
 
     let gossiped = view.take_updates(6);
     let names: Vec<&str> = gossiped.iter().map(|m| m.name.as_str()).collect();
-    assert_eq!(names, ["vm-002"]);
+    assert_eq!(names, ["vm-002", "vm-003"]);
 }
 
 #[test]
