Log at most 16 changes of targets a second, and the number of the others

Cause: a line a VM for each change of each target, and a target that starts changes its row four times.

Change: a limit of lines by second (LineLimit, without I/O); the number of those left out is logged with the newest row, and the state dump lists the row of each target, so that a request's target can still be followed to its row.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -265,6 +265,12 @@
         self.entries.get(id)?.target.as_ref()
     }
 
+    /// Returns the revision of the newest row of a target, also of one that was deleted.
+    #[must_use]
+    pub fn row_revision(&self, id: &str) -> Option<Revision> {
+        self.entries.get(id).map(|entry| entry.revision)
+    }
+
     /// Returns whether the target is cold or may be; true for an unknown target.
     #[must_use]
     pub fn is_cold(&self, id: &str, now: Duration) -> bool {
--- a/crates/gateway/src/launch.rs
+++ b/crates/gateway/src/launch.rs
@@ -195,6 +195,7 @@
 async fn apply_delayed_changes(node: Rc<Node>) {
     loop {
         tokio::time::sleep(EXPIRE_INTERVAL).await;
+        node.report_omitted_target_lines();
         let settled = node.catalog.borrow_mut().settle_evacuations(node.now());
         for (zone, active) in settled {
             log::info!(event = "evacuation", zone = zone.as_str(), active = active, reason = "lapsed"; "evacuation of the zone started or ended: the store lost its newer state, which was not written again in time");
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -66,9 +66,10 @@
     for target in catalog.targets() {
         let is_cold = catalog.is_cold(&target.id, now);
         let is_ejected = balancer.is_ejected(&target.id, now);
+        let row = catalog.row_revision(&target.id).unwrap_or_default();
         let _ = writeln!(
             out,
-            "target {} service {} zone {} {:?} cold {is_cold} ejected {is_ejected}",
+            "target {} service {} zone {} {:?} cold {is_cold} ejected {is_ejected} row {row}",
             target.id, target.service, target.zone, target.state
         );
         if catalog.is_leaving(&target.id) {
--- a/crates/gateway/src/node/changes.rs
+++ b/crates/gateway/src/node/changes.rs
@@ -9,6 +9,9 @@
     wire::Revision,
 };
 
+/// Maximum number of log lines per second about targets that were added, updated or removed.
+const MAX_TARGET_LINES_PER_S: u32 = 16;
+
 impl Node {
     /// Replaces the route table with one built from a configuration, unless that is out of date.
     /// `origin` names the store, or the VM that delivered the configuration.
@@ -57,7 +60,9 @@
             self.balancer.borrow_mut().reset_target(&id);
             self.client.close_idle(address);
         }
-        log::info!(event = "target_known", target = id.as_str(), row:% = row_revision, draining = is_draining, cold_ms = cold_ms, born_ms = started_at_ms; "target added or updated");
+        if self.may_log_target_line() {
+            log::info!(event = "target_known", target = id.as_str(), row:% = row_revision, draining = is_draining, cold_ms = cold_ms, born_ms = started_at_ms; "target added or updated");
+        }
         merge_pending_statements(self, &id);
     }
 
@@ -78,11 +83,26 @@
             .catalog
             .borrow_mut()
             .remove(id, row_revision, settled_at, now)
+            && self.may_log_target_line()
         {
             log::info!(event = "target_gone", target = id, row:% = row_revision, reason = reason, held = after_outage; "target row deleted or invalid; its target is removed, or kept for a while if held");
         }
     }
 
+    fn may_log_target_line(&self) -> bool {
+        let mut lines = self.target_lines.borrow_mut();
+        lines.may_log(MAX_TARGET_LINES_PER_S, self.now())
+    }
+
+    /// Logs how many changes of targets were not logged one by one.
+    pub(crate) fn report_omitted_target_lines(&self) {
+        let omitted = self.target_lines.borrow_mut().take_omitted(self.now());
+        if let Some(omitted) = omitted {
+            let newest = self.replica().newest_revision();
+            log::info!(event = "target_lines_omitted", omitted = omitted, row:% = newest; "this many targets more were added, updated or removed; the state dump lists the row of each");
+        }
+    }
+
     /// Starts or ends the evacuation of a zone.
     pub(crate) fn apply_evacuation(
         &self,
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        Bounds, Clock, HeaderNames, Registration, Settings, Store, http_client::Client,
+        Bounds, Clock, HeaderNames, LineLimit, Registration, Settings, Store, http_client::Client,
         peers::HeardStatement,
     },
     balance::{Balancer, Reachability, RetryBudget, updates::Sources},
@@ -82,6 +82,8 @@
     is_registered: Cell<bool>,
     /// Holds the time at which this VM began to leave.
     leaving: watch::Sender<Option<Duration>>,
+    /// Lines about targets that were added, updated or removed.
+    pub(super) target_lines: RefCell<LineLimit>,
     pub(crate) queue_owners: RefCell<super::QueueOwners>,
     /// By route and service, the targets by region.
     pub(crate) region_summaries: RefCell<Map<String, Map<String, super::RegionSummary>>>,
@@ -134,6 +136,7 @@
             sources_generation: Cell::default(),
             is_registered: Cell::new(false),
             leaving: watch::Sender::new(None),
+            target_lines: RefCell::default(),
             queue_owners: RefCell::default(),
             region_summaries: RefCell::default(),
             socket: RefCell::default(),
