Encode a batch of rows once for all followers that are in step

Change: the last encoded batch of each table is kept with what it depends on (catalog::BatchCache, without I/O).

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -2,11 +2,12 @@
 //!
 //! [`Catalog`] receives rows with their store revision and determines which targets may receive
 //! requests. A row never overrides a newer one, whichever source delivers it.
-//! [`RecordReplica`] keeps the rows themselves and passes them on to peers; [`EraTracker`] tells
-//! when the store was restored from an older snapshot, and [`WatchTimeouts`] how long a call for
+//! [`RecordReplica`] keeps the rows themselves and passes them on to peers, encoded once for those that
+//! are in step ([`BatchCache`]); [`EraTracker`] tells when the store was restored from an older snapshot, and [`WatchTimeouts`] how long a call for
 //! changes is relied on. Nothing here does I/O or reads a clock: every `now` is an argument, the time since the start of the process.
 //! See `docs/PLATFORM.md`, section "Targets".
 
+mod batch_cache;
 mod catalog;
 mod era;
 mod evacuation;
@@ -14,6 +15,7 @@
 mod target;
 mod watch_timeouts;
 
+pub use batch_cache::{BatchCache, BatchState};
 pub use catalog::Catalog;
 pub use era::{EraChange, EraTracker, NamedEra};
 pub use replica::RecordReplica;
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -6,7 +6,7 @@
         peers::HeardStatement,
     },
     balance::{Balancer, Reachability, RetryBudget, updates::Sources},
-    catalog::{Catalog, EraTracker, RecordReplica},
+    catalog::{BatchCache, Catalog, EraTracker, RecordReplica},
     member::{Timeouts, View},
     route::{RouteTable, WeightedRoundRobin},
     std::{
@@ -65,6 +65,8 @@
     member_view: RefCell<View>,
     /// Rows of the platform's store.
     replica: RefCell<RecordReplica>,
+    /// The last encoded batches of rows for peers.
+    pub(crate) batch_cache: RefCell<BatchCache>,
     /// Reachability of the store, by table.
     pub(super) table_health: RefCell<Map<String, super::TableHealth>>,
     /// When the store last responded, to this VM or to the one that it receives rows from.
@@ -127,6 +129,7 @@
             in_flight: Cell::new(0),
             member_view: RefCell::new(view),
             replica: RefCell::default(),
+            batch_cache: RefCell::default(),
             table_health: RefCell::default(),
             last_store_contact: Cell::default(),
             replica_changes: watch::Sender::new(()),
--- a/crates/gateway/src/peers/records.rs
+++ b/crates/gateway/src/peers/records.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{HttpResponse, Node, frontend::text_response, node::duration_ms, store},
-    bytes::Bytes,
+    catalog::BatchState,
     hyper::{Request, StatusCode, body::Incoming, header::HeaderName, http::HeaderValue},
     std::{rc::Rc, str::FromStr, time::Duration},
     wire::{Batch, Revision},
@@ -52,14 +52,25 @@
 }
 
 fn respond_with_batch(node: &Rc<Node>, after: Revision, tables: &[String]) -> HttpResponse {
-    let batch = Batch {
+    let replica = node.replica();
+    let state = BatchState {
+        after,
+        newest: replica.newest_revision(),
+        complete: replica.complete_revision(tables),
         well: follows_store(node),
         settled: node.is_store_settled(),
-        ..node.replica().build_batch(after, tables)
     };
-    match wire::encode(&batch) {
+    let encode = || {
+        wire::encode(&Batch {
+            well: state.well,
+            settled: state.settled,
+            ..replica.build_batch(after, tables)
+        })
+    };
+    let mut batches = node.batch_cache.borrow_mut();
+    match batches.get_or_encode(tables, state, encode) {
         Ok(bytes) => {
-            let mut response = HttpResponse::new(Bytes::from(bytes).into());
+            let mut response = HttpResponse::new(bytes.into());
             if let Some(age) = node.time_since_store_contact() {
                 let age_ms = HeaderValue::from(duration_ms(age));
                 response.headers_mut().insert(STORE_AGE_MS_HEADER, age_ms);
