Elect the senders of a cold target once, and look at more targets step by step

Cause: where fewer than two of the four preferred targets of a side may take a request, a decision looked at every target of the service, and for each cold one at every VM: 400 x 295 hashes, some milliseconds of a whole core at a VM that has a tenth of one.

Change: whether this VM may send to a cold target is kept until the membership changes (balance::WarmupSenders), and a decision looks at 4, then 32, then all targets of a side, in the order of preference.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -25,7 +25,7 @@
 
 pub use balancer::Balancer;
 pub use feedback::{Change, Feedback, Field, Gossip, RateLimit, Source, Statements};
-pub use preselection::{Preselection, Side, preselect_targets};
+pub use preselection::{PRESELECTION_SIZES, Preselection, Side, preselect_targets};
 pub use priority_reserve::PriorityReserve;
 pub use reachability::Reachability;
 pub use recent_objects::RecentObjects;
@@ -36,6 +36,6 @@
 pub use running_times::{Affinity, RunningTimes};
 pub use selection::{Candidate, Locality, Selection, SelectionPolicy, Timing, select_candidate};
 pub use senders::select_senders;
-pub use slow_start::{SlowStart, select_warmup_senders};
+pub use slow_start::{SlowStart, WarmupSenders, select_warmup_senders};
 pub use target_stats::{LoadReport, TargetStats};
 pub use wait_queues::{QueueKey, WaitQueues};
--- a/crates/balance/src/preselection.rs
+++ b/crates/balance/src/preselection.rs
@@ -6,8 +6,9 @@
 
 use {crate::rendezvous_weight, catalog::Target};
 
-/// Targets kept for each side. More than are tried, as some may be ejected or cold.
-const TARGETS_PER_SIDE: usize = 4;
+/// Targets kept for each side, in turn, until enough of them are eligible. More than are tried, as
+/// some may be ejected or cold.
+pub const PRESELECTION_SIZES: [usize; 3] = [4, 32, usize::MAX];
 /// Targets that a side needs for a decision, if it has as many.
 const MIN_TARGETS_PER_SIDE: usize = 2;
 
@@ -29,13 +30,13 @@
 }
 
 impl<'a> Side<'a> {
-    fn add(&mut self, hash: u64, target: &'a Target) {
+    fn add(&mut self, hash: u64, target: &'a Target, max_targets: usize) {
         let position = self.ranked.partition_point(|(other, _)| *other >= hash);
-        if position < TARGETS_PER_SIDE {
+        if position < max_targets {
             self.ranked.insert(position, (hash, target));
         }
-        if self.ranked.len() > TARGETS_PER_SIDE || position == TARGETS_PER_SIDE {
-            self.ranked.truncate(TARGETS_PER_SIDE);
+        if self.ranked.len() > max_targets || position == max_targets {
+            self.ranked.truncate(max_targets);
             self.is_truncated = true;
         }
     }
@@ -52,12 +53,13 @@
     }
 }
 
-/// Selects the most preferred targets for a key. `targets` states for each whether it is in another
+/// Selects the most preferred targets for a key, at most `max_targets` on each side. `targets` states for each whether it is in another
 /// region.
 #[must_use]
 pub fn preselect_targets<'a>(
     key: &str,
     targets: impl Iterator<Item = (&'a Target, bool)>,
+    max_targets: usize,
 ) -> Preselection<'a> {
     let mut preselection = Preselection::default();
     for (target, is_remote) in targets {
@@ -66,7 +68,7 @@
         } else {
             &mut preselection.local
         };
-        side.add(rendezvous_weight(key, &target.id), target);
+        side.add(rendezvous_weight(key, &target.id), target, max_targets);
     }
     preselection
 }
--- a/crates/balance/src/slow_start.rs
+++ b/crates/balance/src/slow_start.rs
@@ -20,6 +20,38 @@
     select_senders(target, zone, vms, WARMUP_SENDERS)
 }
 
+/// Whether this VM is among those selected to send to each cold target.
+///
+/// The selection looks at all VMs, and a decision may look at many cold targets, so it is made once
+/// for each target and state of the membership.
+#[derive(Debug, Clone, Default)]
+pub struct WarmupSenders {
+    generation: u64,
+    by_target: Map<String, bool>,
+}
+
+impl WarmupSenders {
+    /// Returns whether this VM may send to the target, as `elect` says for this generation of the
+    /// membership.
+    pub fn is_sender(
+        &mut self,
+        target: &str,
+        generation: u64,
+        elect: impl FnOnce() -> bool,
+    ) -> bool {
+        if self.generation != generation {
+            self.generation = generation;
+            self.by_target.clear();
+        }
+        if let Some(is_sender) = self.by_target.get(target) {
+            return *is_sender;
+        }
+        let is_sender = elect();
+        self.by_target.insert(target.to_owned(), is_sender);
+        is_sender
+    }
+}
+
 /// Rate limits of one VM for the cold targets that it may send requests to.
 #[derive(Debug, Clone, Default)]
 pub struct SlowStart {
--- a/crates/balance/tests/board.rs
+++ b/crates/balance/tests/board.rs
@@ -5,7 +5,7 @@
 use {
     balance::{
         Affinity, Balancer, Decision, Dispatch, EligibleTarget, LoadReport, Locality,
-        PendingRequest, QueueKey, TargetCounts, preselect_targets,
+        PRESELECTION_SIZES, PendingRequest, QueueKey, TargetCounts, preselect_targets,
     },
     catalog::Target,
     fixtures::target,
@@ -516,7 +516,7 @@
             ..request(&object, 0, 1)
         };
         let with_side = targets.iter().map(|target| (target, is_remote(target)));
-        let preselection = preselect_targets(request.key(), with_side);
+        let preselection = preselect_targets(request.key(), with_side, PRESELECTION_SIZES[0]);
         let sides = [&preselection.local, &preselection.remote];
         let few: Vec<EligibleTarget<'_>> = sides
             .iter()
@@ -549,8 +549,8 @@
     let targets: Vec<Target> = (0..6).map(|n| target(&format!("t{n}"), "z")).collect();
     let with_side = |count| targets[..count].iter().map(|target| (target, false));
 
-    let of_many = preselect_targets("1", with_side(6));
-    let of_two = preselect_targets("1", with_side(2));
+    let of_many = preselect_targets("1", with_side(6), PRESELECTION_SIZES[0]);
+    let of_two = preselect_targets("1", with_side(2), PRESELECTION_SIZES[0]);
 
     assert_eq!(of_many.local.targets().count(), 4);
     assert!(of_many.local.suffices(2) && !of_many.local.suffices(1));
--- a/crates/gateway/src/node/selection.rs
+++ b/crates/gateway/src/node/selection.rs
@@ -3,7 +3,8 @@
 use {
     super::{Node, Path, QueueOwner, RequestContext, Reservation, Selection},
     balance::{
-        Decision, EligibleTarget, Locality, PendingRequest, QueueKey, select_warmup_senders,
+        Decision, EligibleTarget, Locality, PRESELECTION_SIZES, PendingRequest, QueueKey,
+        select_warmup_senders,
     },
     catalog::{Catalog, Target},
     route::Route,
@@ -81,19 +82,22 @@
             let target = catalog.get(&assignment.target).filter(|_| usable);
             return target.and_then(eligible).into_iter().collect();
         }
-        let targets = catalog.usable_targets(&request.service);
-        let with_side = targets.map(|target| (target, self.is_remote(target)));
-        let preselection = balance::preselect_targets(pending.key(), with_side);
-        let mut targets: Vec<EligibleTarget<'a>> =
-            preselection.local.targets().filter_map(eligible).collect();
-        let local_count = self.count_unrestricted(&targets, now);
-        targets.extend(preselection.remote.targets().filter_map(eligible));
-        let remote_count = self.count_unrestricted(&targets, now) - local_count;
-        if preselection.local.suffices(local_count) && preselection.remote.suffices(remote_count) {
-            return targets;
+        let mut selected = Vec::new();
+        for max_targets in PRESELECTION_SIZES {
+            let targets = catalog.usable_targets(&request.service);
+            let with_side = targets.map(|target| (target, self.is_remote(target)));
+            let preselection = balance::preselect_targets(pending.key(), with_side, max_targets);
+            selected = preselection.local.targets().filter_map(eligible).collect();
+            let local_count = self.count_unrestricted(&selected, now);
+            selected.extend(preselection.remote.targets().filter_map(eligible));
+            let remote_count = self.count_unrestricted(&selected, now) - local_count;
+            if preselection.local.suffices(local_count)
+                && preselection.remote.suffices(remote_count)
+            {
+                break;
+            }
         }
-        let targets = catalog.usable_targets(&request.service);
-        targets.filter_map(eligible).collect()
+        selected
     }
 
     fn count_unrestricted(&self, targets: &[EligibleTarget<'_>], now: Duration) -> usize {
@@ -263,14 +267,20 @@
         let bounds = self.bounds();
         let requests_per_s =
             service.warmup_requests_per_s * bounds.warmup_factor + bounds.warmup_slack;
+        let generation = self.member_view().generation();
+        let mut senders = self.warmup_senders.borrow_mut();
+        let elect = || self.is_elected_for_warmup(target);
+        let is_sender = senders.is_sender(&target.id, generation, elect);
+        is_sender.then_some(requests_per_s)
+    }
+
+    fn is_elected_for_warmup(&self, target: &Target) -> bool {
         let view = self.member_view();
         let members = view.members();
         let present = members.iter().filter(|m| m.status != wire::Status::Gone);
         let vms = present.map(|m| (m.name.as_str(), m.zone.as_str()));
         let senders = select_warmup_senders(&target.id, &target.zone, vms);
-        senders
-            .contains(&self.settings.name.as_str())
-            .then_some(requests_per_s)
+        senders.contains(&self.settings.name.as_str())
     }
 
     /// Returns the position of a newly arrived request among those that wait at this VM.
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -5,7 +5,7 @@
         Bounds, Clock, HeaderNames, LineLimit, Registration, Settings, Store, http_client::Client,
         peers::HeardStatement,
     },
-    balance::{Balancer, Reachability, RetryBudget, updates::Sources},
+    balance::{Balancer, Reachability, RetryBudget, WarmupSenders, updates::Sources},
     catalog::{BatchCache, Catalog, EraTracker, RecordReplica},
     member::{Timeouts, View},
     route::{RouteTable, WeightedRoundRobin},
@@ -86,6 +86,8 @@
     leaving: watch::Sender<Option<Duration>>,
     /// Lines about targets that were added, updated or removed.
     pub(super) target_lines: RefCell<LineLimit>,
+    /// Whether this VM may send to each cold target.
+    pub(super) warmup_senders: RefCell<WarmupSenders>,
     pub(crate) queue_owners: RefCell<super::QueueOwners>,
     /// By route and service, the targets by region.
     pub(crate) region_summaries: RefCell<Map<String, Map<String, super::RegionSummary>>>,
@@ -140,6 +142,7 @@
             is_registered: Cell::new(false),
             leaving: watch::Sender::new(None),
             target_lines: RefCell::default(),
+            warmup_senders: RefCell::default(),
             queue_owners: RefCell::default(),
             region_summaries: RefCell::default(),
             socket: RefCell::default(),
