--- a/crates/gateway/src/store/source.rs
+++ b/crates/gateway/src/store/source.rs
@@ -1,7 +1,7 @@
 //! Receives rows from the VM of the zone that watches the store, the update source.
 //!
 //! Which VMs watch the store is decided by [`Sources`]. Every other VM long-polls one of them for
-//! rows. See `docs/PLATFORM.md`, section "Rows".
+//! rows. See `docs/PLATFORM.md`, section "Truths and their order".
 
 use {
     super::pull::{PeerBatch, RowsRequest, apply_batch, fetch_batch},
