Log and count each retry: its cause, and what its VM had counted

No line said that a send is a retry, how much of the budget its VM had used, by which number of VMs the fixed part is divided and since when the process runs, so the four hypotheses could not be told apart. Adds the line `retry` and the counter cicadalift_retries_total. Withdrawals of retries and copies, which stood in two modules, are in node/retries.rs; no decision changes.

--- a/crates/balance/src/retry_budget.rs
+++ b/crates/balance/src/retry_budget.rs
@@ -19,6 +19,15 @@
     pub window: Duration,
 }
 
+/// What a budget has counted in its window.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Usage {
+    /// Requests that were sent for the first time.
+    pub first_attempts: usize,
+    /// Retries and copies.
+    pub retries: usize,
+}
+
 /// First attempts and retries of one VM to one service, as the times at which they were sent.
 #[derive(Debug, Clone, Default)]
 pub struct RetryBudget {
@@ -52,6 +61,15 @@
         self.retries.pop_back();
     }
 
+    /// Returns what was counted in the window that ended with the latest call.
+    #[must_use]
+    pub fn usage(&self) -> Usage {
+        Usage {
+            first_attempts: self.first_attempts.len(),
+            retries: self.retries.len(),
+        }
+    }
+
     fn try_withdraw_within(
         &mut self,
         fraction: f64,
--- a/crates/gateway/src/frontend/hedge.rs
+++ b/crates/gateway/src/frontend/hedge.rs
@@ -44,7 +44,7 @@
     let (result, winner, was_sent) = race(first, second.as_mut()).await;
     drop(second);
     if !was_sent {
-        node.refund_copy(&context.service);
+        node.refund_retry(&context.service);
         return ended(result);
     }
     // Another result is only used once both exchanges have ended.
--- a/crates/gateway/src/frontend/progress.rs
+++ b/crates/gateway/src/frontend/progress.rs
@@ -4,7 +4,7 @@
     crate::{
         Node,
         http_client::{Outcome, TargetResponse},
-        node::RequestContext,
+        node::{RequestContext, RetryCause},
     },
     std::time::Duration,
 };
@@ -50,7 +50,14 @@
             node.record_first_attempt(&context.service);
             return true;
         }
-        self.attempts == 0 || node.try_withdraw_retry(&context.service)
+        self.attempts == 0 || node.try_withdraw_retry(context, self.retry_cause())
+    }
+
+    fn retry_cause(&self) -> RetryCause {
+        match self.indeterminate_reason {
+            Some(_) => RetryCause::Broken,
+            None => RetryCause::Rejected,
+        }
     }
 
     /// Counts the copy of a slow attempt, whose retry is already taken out of the budget.
--- a/crates/gateway/src/node/copies.rs
+++ b/crates/gateway/src/node/copies.rs
@@ -1,7 +1,7 @@
 //! Chooses the targets of copies of slow requests, and takes them out of the retry budget.
 
 use {
-    super::{Divertible, Node, RequestContext, Reservation},
+    super::{Divertible, Node, RequestContext, Reservation, RetryCause},
     balance::{
         Affinity, Decision, Dispatch,
         hedge::{Declined, Pending},
@@ -90,7 +90,7 @@
             return None;
         }
         let mut reservation = self.reserve_second_home(request, true, true)?;
-        if !self.try_withdraw_copy(&request.service) {
+        if !self.try_withdraw_retry(request, RetryCause::Slow) {
             return None;
         }
         reservation.is_copy = true;
@@ -98,14 +98,6 @@
         Some(reservation)
     }
 
-    /// Returns the retry of a copy that was not sent to a target to the budget.
-    pub(crate) fn refund_copy(&self, service: &str) {
-        let mut budgets = self.retry_budgets.borrow_mut();
-        if let Some(budget) = budgets.get_mut(service) {
-            budget.refund();
-        }
-    }
-
     /// Decides whether a copy of a slow request is sent now. It counts as in flight at its target
     /// until the reservation is dropped.
     pub(crate) fn check_copy(
@@ -133,11 +125,11 @@
             }
             Err((declined, _)) => return CopyCheck::Declined(declined),
         }
-        if !self.try_withdraw_copy(&request.service) {
+        if !self.try_withdraw_retry(request, RetryCause::Slow) {
             return CopyCheck::Declined(Declined::NoBudget);
         }
         let Some(reservation) = self.reserve_copy(request, copy, &catalog, now) else {
-            self.refund_copy(&request.service);
+            self.refund_retry(&request.service);
             return CopyCheck::Declined(Declined::NoTarget);
         };
         CopyCheck::Send(Box::new(reservation))
@@ -195,16 +187,6 @@
             .hedging
             .record_room(&request.service, has_room, now);
     }
-
-    /// Takes one retry for a copy out of this VM's share of the retry budget of a service. Returns
-    /// false if copies have used up their part of it.
-    fn try_withdraw_copy(&self, service: &str) -> bool {
-        let now = self.now();
-        let vm_count = self.member_view().members().len();
-        let mut budgets = self.retry_budgets.borrow_mut();
-        let budget = budgets.entry(service.to_owned()).or_default();
-        budget.try_withdraw_copy(now, &self.bounds().retry, vm_count)
-    }
 }
 
 fn pending<'a>(
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -11,6 +11,7 @@
 mod reachability;
 mod region_summary;
 mod request;
+mod retries;
 mod second_home;
 mod selection;
 mod shedding;
@@ -29,6 +30,7 @@
 pub(crate) use request::{
     Assignment, Divertible, QueueEntry, RequestContext, Reservation, Selection,
 };
+pub(crate) use retries::RetryCause;
 pub use state::Node;
 pub(crate) use state::duration_ms;
 use store_health::TableHealth;
--- /dev/null
+++ b/crates/gateway/src/node/retries.rs
@@ -0,0 +1,76 @@
+//! Takes retries and copies out of this VM's part of the retry budgets.
+
+use {
+    super::{Node, RequestContext, duration_ms},
+    balance::RetryBudget,
+};
+
+/// Why a request is sent once more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RetryCause {
+    /// A target rejected it.
+    Rejected,
+    /// A target may have run it, and no valid response came.
+    Broken,
+    /// It is slow at its target, and a copy is sent to another one.
+    Slow,
+}
+
+impl RetryCause {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Rejected => "rejected",
+            Self::Broken => "broken",
+            Self::Slow => "slow",
+        }
+    }
+}
+
+impl Node {
+    /// Counts a first attempt for the retry budget of a service.
+    pub(crate) fn record_first_attempt(&self, service: &str) {
+        let now = self.now();
+        let mut budgets = self.retry_budgets.borrow_mut();
+        let budget = budgets.entry(service.to_owned()).or_default();
+        budget.record_first_attempt(now, &self.bounds().retry);
+    }
+
+    /// Takes one retry out of this VM's part of the retry budget of the request's service. Returns
+    /// false if the part is used up.
+    pub(crate) fn try_withdraw_retry(&self, request: &RequestContext, cause: RetryCause) -> bool {
+        let now = self.now();
+        let rule = self.bounds().retry;
+        let vm_count = self.member_view().members().len();
+        let mut budgets = self.retry_budgets.borrow_mut();
+        let budget = budgets.entry(request.service.clone()).or_default();
+        let is_withdrawn = match cause {
+            RetryCause::Slow => budget.try_withdraw_copy(now, &rule, vm_count),
+            RetryCause::Rejected | RetryCause::Broken => budget.try_withdraw(now, &rule, vm_count),
+        };
+        self.report_retry(request, cause, is_withdrawn, budget, vm_count);
+        is_withdrawn
+    }
+
+    /// Returns the retry of a copy that was not sent to a target to the budget.
+    pub(crate) fn refund_retry(&self, service: &str) {
+        let mut budgets = self.retry_budgets.borrow_mut();
+        if let Some(budget) = budgets.get_mut(service) {
+            budget.refund();
+        }
+    }
+
+    fn report_retry(
+        &self,
+        request: &RequestContext,
+        cause: RetryCause,
+        is_withdrawn: bool,
+        budget: &RetryBudget,
+        vm_count: usize,
+    ) {
+        let result = if is_withdrawn { "taken" } else { "declined" };
+        metrics::counter!("cicadalift_retries_total", "cause" => cause.as_str(), "result" => result)
+            .increment(1);
+        let usage = budget.usage();
+        log::info!(event = "retry", request = request.id.as_str(), service = request.service.as_str(), cause = cause.as_str(), result = result, retries = usage.retries, first_attempts = usage.first_attempts, vms = vm_count, uptime_ms = duration_ms(self.now()); "request is to be sent once more, if the retry budget allows it");
+    }
+}
--- a/crates/gateway/src/node/selection.rs
+++ b/crates/gateway/src/node/selection.rs
@@ -372,24 +372,6 @@
         route.services[index].service.clone()
     }
 
-    /// Counts a first attempt for the retry budget of a service.
-    pub(crate) fn record_first_attempt(&self, service: &str) {
-        let now = self.now();
-        let mut budgets = self.retry_budgets.borrow_mut();
-        let budget = budgets.entry(service.to_owned()).or_default();
-        budget.record_first_attempt(now, &self.bounds().retry);
-    }
-
-    /// Takes one retry out of this VM's share of the retry budget of a service. Returns false if
-    /// the share is used up.
-    pub(crate) fn try_withdraw_retry(&self, service: &str) -> bool {
-        let now = self.now();
-        let vm_count = self.member_view().members().len();
-        let mut budgets = self.retry_budgets.borrow_mut();
-        let budget = budgets.entry(service.to_owned()).or_default();
-        budget.try_withdraw(now, &self.bounds().retry, vm_count)
-    }
-
     /// Returns whether one more target of a service may be ejected: at most half of them are
     /// ejected at a time.
     pub(crate) fn may_eject(&self, service: &str) -> bool {
