Retry budget: a process that starts has saved no retries

Cause: each VM counted its retries in a sliding window of its process. A process that starts has forgotten them, so it got the fixed part anew, and what the one before it had saved in calm and spent at once was not taken off. The class: a limit that is divided without messages, and whose counts end with the process.

Why this works: a token bucket that is empty when the process starts. 0.6 of a window's allowance is earned in a window, by first attempts and, for the fixed part, by time, and 0.35 can be saved. What all processes of a VM send in a window is at most what one of them had saved at its begin and what they earn in it, 0.95 of the allowance, however often the VM starts. The rest is for retries that reach their targets late.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -49,7 +49,7 @@
 pub use rendezvous::rendezvous_weight;
 pub use request::{Decision, Dispatch, EligibleTarget, PendingRequest};
 pub use response_times::ResponseTimes;
-pub use retry_budget::{RetryBudget, RetryRule, Usage};
+pub use retry_budget::{RetryBudget, RetryRule};
 pub use running_times::{Affinity, RunningTimes};
 pub use selection::{Candidate, Locality, Selection, SelectionPolicy, Timing, select_candidate};
 pub use senders::select_senders;
--- a/crates/balance/src/retry_budget.rs
+++ b/crates/balance/src/retry_budget.rs
@@ -2,11 +2,13 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-/// Fraction of the allowed retries that VMs use. The rest covers VMs that restart and lose
-/// their counts.
-const SAFETY_FACTOR: f64 = 0.8;
-/// Fraction of those up to which copies of slow requests may use them.
-const COPY_FRACTION: f64 = 0.5;
+/// Fraction of a window's allowance that a VM earns in the window.
+const EARNED_FRACTION: f64 = 0.6;
+/// Fraction of a window's allowance that a VM can save up. A process that starts has saved nothing, as
+/// the one before it may have spent its savings in the same window.
+const SAVED_FRACTION: f64 = 0.35;
+/// Fraction of its savings that a VM keeps from copies of slow requests, for failed requests.
+const COPY_RESERVE: f64 = 0.5;
 
 /// Limit on the retries of all VMs together to one service.
 #[derive(Debug, Clone, Copy)]
@@ -19,20 +21,19 @@
     pub window: Duration,
 }
 
-/// What a budget has counted in its window.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Usage {
-    /// Requests that were sent for the first time.
-    pub first_attempts: usize,
-    /// Retries and copies.
-    pub retries: usize,
-}
-
-/// First attempts and retries of one VM to one service, as the times at which they were sent.
+/// This VM's part of the retries to one service, as a token bucket that is empty when the process
+/// starts.
+///
+/// A token is one retry. Tokens are earned by first attempts and, for the VM's part of the fixed slack,
+/// by time. What all processes of a VM send in a window is thus at most what one of them had saved and
+/// what they earn in the window, however often the VM starts. Every `now` is a time since the start of
+/// the process.
 #[derive(Debug, Clone, Default)]
 pub struct RetryBudget {
     first_attempts: VecDeque<Duration>,
-    retries: VecDeque<Duration>,
+    tokens: f64,
+    /// Until when tokens were earned by time.
+    earned_until: Duration,
 }
 
 impl RetryBudget {
@@ -40,61 +41,68 @@
     pub fn record_first_attempt(&mut self, now: Duration, rule: &RetryRule) {
         self.expire(now, rule);
         self.first_attempts.push_back(now);
+        self.tokens += EARNED_FRACTION * rule.ratio;
     }
 
-    /// Takes one retry from this VM's share of the budget. Returns false if none is left.
+    /// Takes a token for one retry. Returns false if there is none.
     ///
-    /// The share grows with this VM's own first attempts; the fixed slack is divided by the
-    /// number of VMs.
+    /// The fixed slack is divided by the number of VMs.
     pub fn try_withdraw(&mut self, now: Duration, rule: &RetryRule, vm_count: usize) -> bool {
-        self.try_withdraw_within(SAFETY_FACTOR, now, rule, vm_count)
+        self.try_withdraw_above(0.0, now, rule, vm_count)
     }
 
-    /// Takes one retry for the copy of a slow request. Copies are refused while failed requests
+    /// Takes a token for the copy of a slow request. Copies are refused while failed requests
     /// still get retries.
     pub fn try_withdraw_copy(&mut self, now: Duration, rule: &RetryRule, vm_count: usize) -> bool {
-        self.try_withdraw_within(SAFETY_FACTOR * COPY_FRACTION, now, rule, vm_count)
+        self.try_withdraw_above(COPY_RESERVE, now, rule, vm_count)
     }
 
-    /// Returns the latest retry to the budget, as it was not sent to a target.
+    /// Returns the token of a retry that was not sent to a target.
     pub fn refund(&mut self) {
-        self.retries.pop_back();
+        self.tokens += 1.0;
     }
 
-    /// Returns what was counted in the window that ended with the latest call.
+    /// Returns the tokens that are left, as of the latest call.
     #[must_use]
-    pub fn usage(&self) -> Usage {
-        Usage {
-            first_attempts: self.first_attempts.len(),
-            retries: self.retries.len(),
-        }
+    pub fn tokens(&self) -> f64 {
+        self.tokens
     }
 
-    fn try_withdraw_within(
+    /// Takes a token if that leaves a fraction of the most that can be saved.
+    fn try_withdraw_above(
         &mut self,
-        fraction: f64,
+        reserve: f64,
         now: Duration,
         rule: &RetryRule,
         vm_count: usize,
     ) -> bool {
         self.expire(now, rule);
-        let proportional = rule.ratio * to_f64(self.first_attempts.len());
-        let fixed = rule.slack / to_f64(vm_count.max(1));
-        let allowed = fraction * (proportional + fixed);
-        let is_allowed = to_f64(self.retries.len() + 1) <= allowed;
-        if is_allowed {
-            self.retries.push_back(now);
+        let slack = rule.slack / to_f64(vm_count.max(1));
+        let max_tokens = self.earn(slack, now, rule);
+        let has_token = self.tokens - 1.0 >= reserve * max_tokens;
+        if has_token {
+            self.tokens -= 1.0;
         }
-        is_allowed
+        has_token
+    }
+
+    /// Adds the tokens that were earned by time. Returns the most that can be saved.
+    fn earn(&mut self, slack: f64, now: Duration, rule: &RetryRule) -> f64 {
+        let elapsed = now.saturating_sub(self.earned_until);
+        self.earned_until = now;
+        let windows = elapsed.as_secs_f64() / rule.window.as_secs_f64();
+        self.tokens += EARNED_FRACTION * slack * windows;
+        let proportional = rule.ratio * to_f64(self.first_attempts.len());
+        let max_tokens = SAVED_FRACTION * (proportional + slack);
+        self.tokens = self.tokens.min(max_tokens);
+        max_tokens
     }
 
-    /// Removes attempts that have left the window.
+    /// Removes first attempts that have left the window.
     fn expire(&mut self, now: Duration, rule: &RetryRule) {
         let start = now.saturating_sub(rule.window);
-        for times in [&mut self.first_attempts, &mut self.retries] {
-            while times.front().is_some_and(|at| *at < start) {
-                times.pop_front();
-            }
+        while self.first_attempts.front().is_some_and(|at| *at < start) {
+            self.first_attempts.pop_front();
         }
     }
 }
--- a/crates/gateway/src/node/retries.rs
+++ b/crates/gateway/src/node/retries.rs
@@ -70,7 +70,6 @@
         let result = if is_withdrawn { "taken" } else { "declined" };
         metrics::counter!("cicadalift_retries_total", "cause" => cause.as_str(), "result" => result)
             .increment(1);
-        let usage = budget.usage();
-        log::info!(event = "retry", request = request.id.as_str(), service = request.service.as_str(), cause = cause.as_str(), result = result, retries = usage.retries, first_attempts = usage.first_attempts, vms = vm_count, uptime_ms = duration_ms(self.now()); "request is to be sent once more, if the retry budget allows it");
+        log::info!(event = "retry", request = request.id.as_str(), service = request.service.as_str(), cause = cause.as_str(), result = result, tokens = budget.tokens(), vms = vm_count, uptime_ms = duration_ms(self.now()); "request is to be sent once more, if the retry budget allows it");
     }
 }
