A VM that has not heard of any other has no part of the retries' fixed slack

The class: a limit that is divided by the number of VMs, by a VM that knows only itself and so takes all of it.

Cause: the divisor is the number of members that this VM knows. A process that has heard neither another VM nor the store's list of VMs counts one.

Why this works: while the number is not known there is no fixed part; retries are earned by first attempts alone. A VM that is registered has read the list, so the only VM of a deployment still has it all.

--- a/crates/balance/src/retry_budget.rs
+++ b/crates/balance/src/retry_budget.rs
@@ -46,14 +46,25 @@
 
     /// Takes a token for one retry. Returns false if there is none.
     ///
-    /// The fixed slack is divided by the number of VMs.
-    pub fn try_withdraw(&mut self, now: Duration, rule: &RetryRule, vm_count: usize) -> bool {
+    /// The fixed slack is divided by the number of VMs. While that is not known, this VM has no part of
+    /// it.
+    pub fn try_withdraw(
+        &mut self,
+        now: Duration,
+        rule: &RetryRule,
+        vm_count: Option<usize>,
+    ) -> bool {
         self.try_withdraw_above(0.0, now, rule, vm_count)
     }
 
     /// Takes a token for the copy of a slow request. Copies are refused while failed requests
     /// still get retries.
-    pub fn try_withdraw_copy(&mut self, now: Duration, rule: &RetryRule, vm_count: usize) -> bool {
+    pub fn try_withdraw_copy(
+        &mut self,
+        now: Duration,
+        rule: &RetryRule,
+        vm_count: Option<usize>,
+    ) -> bool {
         self.try_withdraw_above(COPY_RESERVE, now, rule, vm_count)
     }
 
@@ -74,10 +85,10 @@
         reserve: f64,
         now: Duration,
         rule: &RetryRule,
-        vm_count: usize,
+        vm_count: Option<usize>,
     ) -> bool {
         self.expire(now, rule);
-        let slack = rule.slack / to_f64(vm_count.max(1));
+        let slack = vm_count.map_or(0.0, |count| rule.slack / to_f64(count.max(1)));
         let max_tokens = self.earn(slack, now, rule);
         let has_token = self.tokens - 1.0 >= reserve * max_tokens;
         if has_token {
--- a/crates/balance/tests/limits.rs
+++ b/crates/balance/tests/limits.rs
@@ -27,7 +27,7 @@
         let vm = usize::try_from(ms / 10).unwrap_or(0) % VMS;
         vms[vm].record_first_attempt(at(ms), &RULE);
         first_attempt_times.push(ms);
-        while vms[vm].try_withdraw(at(ms), &RULE, VMS) {
+        while vms[vm].try_withdraw(at(ms), &RULE, Some(VMS)) {
             retry_times.push(ms);
         }
     }
@@ -51,7 +51,7 @@
 
     budget.record_first_attempt(at(10_000), &RULE);
 
-    assert!(budget.try_withdraw(at(10_001), &RULE, 12));
+    assert!(budget.try_withdraw(at(10_001), &RULE, Some(12)));
 }
 
 /// A target restarts cold while every VM has requests for it, and a network partition divides
--- a/crates/balance/tests/retry_budgets.rs
+++ b/crates/balance/tests/retry_budgets.rs
@@ -39,6 +39,22 @@
     }
 }
 
+/// Guards against VMs that each take the fixed part of all, as they have not heard of any other.
+#[test]
+fn retries_of_vms_that_start_cut_off_from_all_others_stay_within_the_budget() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::start(75, seed);
+        fleet.run(2_000, 400.0);
+
+        fleet.isolate(0.9);
+        fleet.kill(1.0, 200);
+        fleet.failing = 0.9;
+        fleet.run(15_000, 400.0);
+
+        fleet.assert_bound(&format!("seed {seed}"));
+    }
+}
+
 /// Guards against repeats beyond the budget after a kill, also if they reach their targets later than they
 /// are decided.
 #[test]
--- a/crates/gateway/src/node/retries.rs
+++ b/crates/gateway/src/node/retries.rs
@@ -40,7 +40,7 @@
     pub(crate) fn try_withdraw_retry(&self, request: &RequestContext, cause: RetryCause) -> bool {
         let now = self.now();
         let rule = self.bounds().retry;
-        let vm_count = self.member_view().members().len();
+        let vm_count = self.known_vm_count();
         let mut budgets = self.retry_budgets.borrow_mut();
         let budget = budgets.entry(request.service.clone()).or_default();
         let is_withdrawn = match cause {
@@ -65,11 +65,11 @@
         cause: RetryCause,
         is_withdrawn: bool,
         budget: &RetryBudget,
-        vm_count: usize,
+        vm_count: Option<usize>,
     ) {
         let result = if is_withdrawn { "taken" } else { "declined" };
         metrics::counter!("cicadalift_retries_total", "cause" => cause.as_str(), "result" => result)
             .increment(1);
-        log::info!(event = "retry", request = request.id.as_str(), service = request.service.as_str(), cause = cause.as_str(), result = result, tokens = budget.tokens(), vms = vm_count, uptime_ms = duration_ms(self.now()); "request is to be sent once more, if the retry budget allows it");
+        log::info!(event = "retry", request = request.id.as_str(), service = request.service.as_str(), cause = cause.as_str(), result = result, tokens = budget.tokens(), vms = vm_count.unwrap_or_default(), uptime_ms = duration_ms(self.now()); "request is to be sent once more, if the retry budget allows it");
     }
 }
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -244,6 +244,14 @@
         self.route_table().version() > 0 && !self.catalog.borrow().is_empty()
     }
 
+    /// Returns the number of VMs, those that are gone included until their records are removed, or
+    /// `None` while this VM has heard neither of others nor from the store which ones there are.
+    pub(crate) fn known_vm_count(&self) -> Option<usize> {
+        let count = self.member_view().members().len();
+        let has_heard = count > 1 || self.is_registered.get();
+        has_heard.then_some(count)
+    }
+
     /// Records that this VM is registered, so that the other VMs can discover it.
     pub(crate) fn record_registration(&self) {
         self.is_registered.set(true);
