A VM that has not heard of any other gives out no quota

Cause: the part of the limits follows the live VMs over the known ones, one over one for such a VM.

Why this works: while it is not known which VMs there are (neither another one was heard nor this VM is registered, for which it reads the store's list) the part is none. A VM that has read the list counts those on it, so the only VM of a deployment still gives out everything.

The fakes say that nothing was heard where a VM knows only itself. The other tests of quotas pass.

--- a/crates/customer/src/quota/grantor.rs
+++ b/crates/customer/src/quota/grantor.rs
@@ -26,8 +26,9 @@
     pub generation: u64,
     /// Number of VMs that are alive, this one included.
     pub alive: usize,
-    /// Number of VMs that did not leave by themselves, this one included.
-    pub known: usize,
+    /// Number of VMs that did not leave by themselves, this one included; `None` while this VM has not
+    /// heard which ones there are.
+    pub known: Option<usize>,
 }
 
 impl Fleet {
@@ -41,7 +42,10 @@
         reason = "there are far fewer than 2^52 VMs"
     )]
     fn share(self) -> f64 {
-        let present = self.alive.min(self.known) as f64 / self.known.max(1) as f64;
+        let Some(known) = self.known else {
+            return 0.0;
+        };
+        let present = self.alive.min(known) as f64 / known.max(1) as f64;
         if present <= 0.5 {
             2.0 * present * present
         } else {
--- a/crates/customer/tests/succession.rs
+++ b/crates/customer/tests/succession.rs
@@ -29,7 +29,7 @@
 const FLEET: Fleet = Fleet {
     generation: 1,
     alive: 3,
-    known: 3,
+    known: Some(3),
 };
 
 fn at(ms: u64) -> Duration {
--- a/crates/gateway/src/node/quota.rs
+++ b/crates/gateway/src/node/quota.rs
@@ -523,6 +523,7 @@
     }
 
     fn fleet(&self) -> Fleet {
+        let has_heard = self.known_vm_count().is_some();
         let view = self.member_view();
         let view_generation = view.generation();
         if let Some((generation, fleet)) = self.quotas.fleet.get()
@@ -543,9 +544,11 @@
         let fleet = Fleet {
             generation: hash.digest(),
             alive: names.len(),
-            known: known.count(),
+            known: has_heard.then(|| known.count()),
         };
-        self.quotas.fleet.set(Some((view_generation, fleet)));
+        if has_heard {
+            self.quotas.fleet.set(Some((view_generation, fleet)));
+        }
         fleet
     }
 
--- a/crates/measure/src/quota_fleet.rs
+++ b/crates/measure/src/quota_fleet.rs
@@ -387,10 +387,11 @@
     fn observe_at(&mut self, vm: usize) {
         let view = &self.views[vm];
         let alive = view.alive.iter().filter(|is_alive| **is_alive);
+        let known = view.known.iter().filter(|is_known| **is_known).count();
         let present = quota::Fleet {
             generation: view.generation,
             alive: alive.count(),
-            known: view.known.iter().filter(|is_known| **is_known).count(),
+            known: (known > 1).then_some(known),
         };
         let is_owner = self.is_owner(vm);
         let grantor = &mut self.vms[vm].grantor;
--- a/crates/measure/tests/quota.rs
+++ b/crates/measure/tests/quota.rs
@@ -296,7 +296,7 @@
         let fleet = customer::quota::Fleet {
             generation: 1,
             alive,
-            known,
+            known: Some(known),
         };
         for ms in (0..4_000).step_by(500) {
             grantor.observe(fleet, &RULE, |_| true, Duration::from_millis(ms));
--- a/crates/measure/tests/shares.rs
+++ b/crates/measure/tests/shares.rs
@@ -24,7 +24,7 @@
 const FLEET: Fleet = Fleet {
     generation: 1,
     alive: 1,
-    known: 1,
+    known: Some(1),
 };
 const CUSTOMERS: u32 = 40;
 /// Time that the target takes for a request.
