Retry budget: a VM of a large fleet can save a whole retry for an idle service

What callers would have seen: with 0.35 of a window's allowance saved, a VM that has a part of less than 2.9 retries in a window can never save one, so a request of a service with hardly any traffic is not sent again. Of 75 VMs with a slack of 190 each has 2.5. The sliding window before allowed two.

Half of an allowance is earned in a window and 0.45 saved in place of 0.6 and 0.35. Over a failure of one window that is the same; a shorter one gets more, a longer one less, a process that has just started earns 0.5 in place of 0.6. The sum stays 0.95.

--- a/crates/balance/src/retry_budget.rs
+++ b/crates/balance/src/retry_budget.rs
@@ -3,10 +3,10 @@
 use std::{collections::VecDeque, time::Duration};
 
 /// Fraction of a window's allowance that a VM earns in the window.
-const EARNED_FRACTION: f64 = 0.6;
+const EARNED_FRACTION: f64 = 0.5;
 /// Fraction of a window's allowance that a VM can save up. A process that starts has saved nothing, as
 /// the one before it may have spent its savings in the same window.
-const SAVED_FRACTION: f64 = 0.35;
+const SAVED_FRACTION: f64 = 0.45;
 /// Fraction of its savings that a VM keeps from copies of slow requests, for failed requests.
 const COPY_RESERVE: f64 = 0.5;
 
