A VM that has just started takes over which requests crash their targets

What callers see: a request that crashes its targets, refused by all VMs, crashes two more for each VM that starts again.

Cause: a count is told to the others when it rises, in the next few datagrams, and never again.

Why this works: the membership records that a VM takes over several times after its start come with the counts of the VM that gives them. Only a VM in its first 10 s takes them, so that old counts do not pass between VMs for ever. Earlier builds give none and ignore them.

--- a/crates/gateway/src/peers/crash.rs
+++ b/crates/gateway/src/peers/crash.rs
@@ -3,7 +3,7 @@
 use {
     super::prober::broadcast_ping,
     crate::Node,
-    std::{net::SocketAddr, rc::Rc, time::Duration},
+    std::{cmp::Reverse, net::SocketAddr, rc::Rc, time::Duration},
     tokio::net::TcpStream,
     wire::Crash,
 };
@@ -14,6 +14,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for which a count received from another VM is kept.
 const RETENTION: Duration = Duration::from_mins(1);
+/// Time after the start in which the counts of other VMs are taken over.
+const TAKE_OVER_TIME: Duration = Duration::from_secs(10);
+/// Number of counts that are given to another VM at a time.
+const MAX_TAKEN_OVER: usize = 256;
 
 /// Checks whether a target that dropped a connection still accepts connections. If not, it has
 /// crashed: the crash is counted against the request that it ran, and all VMs are notified.
@@ -41,13 +45,45 @@
 /// Merges the crash count of another VM into the quarantine, and passes it on if it is higher
 /// than the known one.
 pub(crate) fn merge_report(node: &Rc<Node>, crash: &Crash) {
-    let now = node.now();
+    if merge_count(node, crash, node.now()) {
+        enqueue_report(node, crash.clone());
+    }
+}
+
+/// Merges a count into the quarantine. Returns whether it is higher than the known one.
+fn merge_count(node: &Node, crash: &Crash, now: Duration) -> bool {
     let mut quarantine = node.quarantine.borrow_mut();
-    let known_count = quarantine.crash_count(&crash.fingerprint);
+    let is_higher = crash.count > quarantine.crash_count(&crash.fingerprint);
     quarantine.merge(&crash.fingerprint, crash.count, RETENTION, now);
-    if crash.count > known_count {
-        log::info!(event = "crash_heard", fingerprint = crash.fingerprint.as_str(), count = crash.count; "another VM reported a higher crash count; passing it on");
-        enqueue_report(node, crash.clone());
+    if is_higher {
+        log::info!(event = "crash_heard", fingerprint = crash.fingerprint.as_str(), count = crash.count; "another VM reported a higher crash count");
+    }
+    is_higher
+}
+
+/// Returns the counts that a VM that has just started has to know, those that are kept for longest
+/// first.
+pub(crate) fn known_crashes(node: &Node) -> Vec<Crash> {
+    let quarantine = node.quarantine.borrow();
+    let mut records = quarantine.records(node.now());
+    records.sort_by_key(|(_, _, left)| Reverse(*left));
+    records.truncate(MAX_TAKEN_OVER);
+    let crashes = records.into_iter().map(|(fingerprint, count, _)| Crash {
+        fingerprint: fingerprint.to_owned(),
+        count,
+    });
+    crashes.collect()
+}
+
+/// Takes over the counts of another VM soon after the start. The others have them already, and would
+/// keep them for ever if they took them over from each other.
+pub(crate) fn take_over_crashes(node: &Node, crashes: &[Crash]) {
+    let now = node.now();
+    if now >= TAKE_OVER_TIME {
+        return;
+    }
+    for crash in crashes {
+        merge_count(node, crash, now);
     }
 }
 
--- a/crates/gateway/src/peers/sync.rs
+++ b/crates/gateway/src/peers/sync.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        crash::{known_crashes, take_over_crashes},
         records::{
             ENCODING_PARAMETER, mark_compressed, query_value, restore_body, takes_compressed,
         },
@@ -41,7 +42,7 @@
             from: view.local_member().clone(),
             about: String::new(),
             news: view.records_for_peer(zone),
-            crashes: Vec::new(),
+            crashes: known_crashes(node),
         }
     };
     let compressed = takes_compressed(query);
@@ -124,6 +125,7 @@
 }
 
 fn merge_members(node: &Node, datagram: &Datagram) {
+    take_over_crashes(node, &datagram.crashes);
     let now = node.now();
     let mut view = node.member_view();
     let previous = view.generation();
