Balance: when decisions are in force is decided in one place

The mode of the settings, and whether the deployment calls for the decisions, stood twice, in `shedding` and in `kept_connections`. Both hold a `balance::Activation` now. No decision changes; the tests of both pass.

--- a/crates/balance/src/kept_connections.rs
+++ b/crates/balance/src/kept_connections.rs
@@ -6,7 +6,7 @@
 //! `docs/design/kept-connections.md`.
 
 use {
-    crate::shedding::Mode,
+    crate::Activation,
     std::{net::SocketAddr, time::Duration},
     wire::Map,
 };
@@ -32,33 +32,19 @@
     pub stated_timeout: Option<Duration>,
 }
 
-/// The targets whose kept connections broke lately, and whether requests that may run once only use
-/// kept connections at all.
+/// The targets whose kept connections broke lately.
 #[derive(Debug, Clone, Default)]
 pub struct KeptConnections {
-    mode: Mode,
-    is_called_for: bool,
+    /// Whether requests that may run once only use kept connections.
+    pub activation: Activation,
     broken_at: Map<SocketAddr, Duration>,
 }
 
 impl KeptConnections {
-    /// Changes when the decisions are in force.
-    pub fn set_mode(&mut self, mode: Mode) {
-        self.mode = mode;
-    }
-
-    /// Records that the deployment calls for these decisions. Returns whether they are in force
-    /// from now on and were not before.
-    pub fn call_for(&mut self) -> bool {
-        let was_active = self.is_active();
-        self.is_called_for = true;
-        !was_active && self.is_active()
-    }
-
     /// Returns whether requests that may run once only use kept connections.
     #[must_use]
     pub fn is_active(&self) -> bool {
-        self.mode.is_in_force(self.is_called_for)
+        self.activation.is_active()
     }
 
     /// Returns whether a request that may run once only may be sent on a kept connection.
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -4,6 +4,7 @@
 //! reads a clock: every `now` is an argument, the time since the start of the process. See
 //! `docs/PLATFORM.md`, section "Decisions".
 
+mod activation;
 mod balancer;
 mod body_time;
 mod candidates;
@@ -33,6 +34,7 @@
 pub mod updates;
 mod wait_queues;
 
+pub use activation::{Activation, Mode};
 pub use balancer::Balancer;
 pub use body_time::body_time;
 pub use fair_shares::FairShares;
--- a/crates/balance/src/shedding/mod.rs
+++ b/crates/balance/src/shedding/mod.rs
@@ -15,40 +15,16 @@
     timeouts::Timeouts,
 };
 
-use {std::time::Duration, wire::Map};
+use {crate::Activation, std::time::Duration, wire::Map};
 
 /// Time for which a service is expected to get further requests that can be in time, after the last one.
 const PUNCTUAL_MEMORY: Duration = Duration::from_secs(2);
 
-/// When the decisions of this module are in force.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum Mode {
-    /// From the first sign that a deployment calls for them.
-    #[default]
-    Auto,
-    /// At all times.
-    Always,
-    /// At no time.
-    Never,
-}
-
-impl Mode {
-    /// Returns whether the decisions are in force, by whether the deployment calls for them.
-    #[must_use]
-    pub fn is_in_force(self, is_called_for: bool) -> bool {
-        match self {
-            Self::Auto => is_called_for,
-            Self::Always => true,
-            Self::Never => false,
-        }
-    }
-}
-
 /// What one VM knows of services and targets that are short of room.
 #[derive(Debug, Clone, Default)]
 pub struct Shedding {
-    mode: Mode,
-    is_called_for: bool,
+    /// Whether the decisions are in force.
+    pub activation: Activation,
     /// Targets whose slots do not suffice.
     pub shortages: Shortages,
     /// Requests refused as a target had no slot to spare for the first run of an object.
@@ -60,23 +36,10 @@
 }
 
 impl Shedding {
-    /// Changes when the decisions are in force.
-    pub fn set_mode(&mut self, mode: Mode) {
-        self.mode = mode;
-    }
-
-    /// Records that the deployment calls for these decisions. Returns whether they are in force
-    /// from now on and were not before.
-    pub fn call_for(&mut self) -> bool {
-        let was_active = self.is_active();
-        self.is_called_for = true;
-        !was_active && self.is_active()
-    }
-
     /// Returns whether the decisions are in force.
     #[must_use]
     pub fn is_active(&self) -> bool {
-        self.mode.is_in_force(self.is_called_for)
+        self.activation.is_active()
     }
 
     /// Counts an arriving request of a service. `is_new` is false for a caller that came back.
--- a/crates/balance/tests/kept_connections.rs
+++ b/crates/balance/tests/kept_connections.rs
@@ -1,7 +1,7 @@
 //! Requests that may run once only, on connections that were kept.
 
 use {
-    balance::{Kept, KeptConnections, shedding::Mode},
+    balance::{Kept, KeptConnections, Mode},
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -22,7 +22,7 @@
 
 fn connections(mode: Mode) -> KeptConnections {
     let mut connections = KeptConnections::default();
-    connections.set_mode(mode);
+    connections.activation.set_mode(mode);
     connections
 }
 
@@ -67,11 +67,11 @@
 fn kept_connections_are_used_only_where_called_for() {
     let mut auto = connections(Mode::Auto);
     assert!(!auto.may_run_once_on(&kept(1, 0), NOW));
-    assert!(auto.call_for());
+    assert!(auto.activation.call_for());
     assert!(auto.may_run_once_on(&kept(1, 0), NOW));
-    assert!(!auto.call_for());
+    assert!(!auto.activation.call_for());
 
     let mut never = connections(Mode::Never);
-    assert!(!never.call_for());
+    assert!(!never.activation.call_for());
     assert!(!never.may_run_once_on(&kept(1, 0), NOW));
 }
--- a/crates/balance/tests/loading.rs
+++ b/crates/balance/tests/loading.rs
@@ -4,8 +4,8 @@
 
 use {
     balance::{
-        Balancer, Decision, Dispatch, EligibleTarget, LoadTimes, Locality, PendingRequest,
-        QueueKey, shedding::Mode,
+        Balancer, Decision, Dispatch, EligibleTarget, LoadTimes, Locality, Mode, PendingRequest,
+        QueueKey,
     },
     catalog::Target,
     fixtures::target,
@@ -60,7 +60,7 @@
 
 fn balancer(mode: Mode) -> Balancer {
     let mut balancer = Balancer::default();
-    balancer.shedding.set_mode(mode);
+    balancer.shedding.activation.set_mode(mode);
     balancer
 }
 
@@ -285,7 +285,7 @@
     let only = target("t", "z");
     let targets = [eligible(&only)];
     let mut balancer = balancer_after_loads(Loaded::AtEnd);
-    balancer.shedding.set_mode(Mode::Never);
+    balancer.shedding.activation.set_mode(Mode::Never);
     send(&mut balancer, "a", &targets, START).expect("target is idle");
 
     let second = send(&mut balancer, "a", &targets, START + ms(300));
--- a/crates/balance/tests/shedding.rs
+++ b/crates/balance/tests/shedding.rs
@@ -4,8 +4,8 @@
 
 use {
     balance::{
-        Balancer, Decision, Dispatch, EligibleTarget, Locality, PendingRequest, QueueKey,
-        shedding::{Mode, Refusal, ReturnReason, ReturnSchedule},
+        Balancer, Decision, Dispatch, EligibleTarget, Locality, Mode, PendingRequest, QueueKey,
+        shedding::{Refusal, ReturnReason, ReturnSchedule},
     },
     catalog::Target,
     fixtures::target,
@@ -57,7 +57,7 @@
 
 fn balancer(mode: Mode) -> Balancer {
     let mut balancer = Balancer::default();
-    balancer.shedding.set_mode(mode);
+    balancer.shedding.activation.set_mode(mode);
     balancer
 }
 
@@ -201,11 +201,11 @@
     let mut ruled_out = balancer(Mode::Never).shedding;
 
     let before = automatic.is_active();
-    let begins = automatic.call_for();
-    let begins_again = automatic.call_for();
+    let begins = automatic.activation.call_for();
+    let begins_again = automatic.activation.call_for();
 
     assert!(!before && begins && !begins_again && automatic.is_active());
-    assert!(!ruled_out.call_for() && !ruled_out.is_active());
+    assert!(!ruled_out.activation.call_for() && !ruled_out.is_active());
 }
 
 /// Callers of one route state timeouts that differ by more than the objective.
--- a/crates/gateway/src/node/customers.rs
+++ b/crates/gateway/src/node/customers.rs
@@ -30,7 +30,7 @@
     /// Records that the configuration lists customers, who compete for the slots that new
     /// connections would take.
     fn call_for_kept_connections(&self) {
-        if self.client.kept.borrow_mut().call_for() {
+        if self.client.kept.borrow_mut().activation.call_for() {
             log::info!(event = "kept_connections_in_force"; "from now on requests that may run once only use connections that were just in use");
         }
     }
--- a/crates/gateway/src/node/shedding.rs
+++ b/crates/gateway/src/node/shedding.rs
@@ -10,7 +10,7 @@
 impl Node {
     /// Records that the deployment calls for shedding by least loss, unless the settings rule it out.
     pub(crate) fn call_for_shedding(&self, reason: &str) {
-        if self.balancer.borrow_mut().shedding.call_for() {
+        if self.balancer.borrow_mut().shedding.activation.call_for() {
             log::info!(event = "shedding_in_force", reason = reason; "from now on requests are delayed and refused such that callers lose least");
         }
     }
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -122,9 +122,9 @@
         };
         let view = View::new(local_member(&settings), timeouts);
         let mut balancer = Balancer::new(settings.bounds.max_share_speed());
-        balancer.shedding.set_mode(settings.bounds.shedding);
+        balancer.shedding.activation.set_mode(settings.bounds.shedding);
         let kept_mode = settings.bounds.kept_connections;
-        client.kept.borrow_mut().set_mode(kept_mode);
+        client.kept.borrow_mut().activation.set_mode(kept_mode);
         Self {
             bounds: RefCell::new(settings.bounds.clone()),
             settings,
@@ -180,9 +180,9 @@
     pub(crate) fn set_bounds(&self, bounds: Bounds) {
         let mut balancer = self.balancer.borrow_mut();
         balancer.max_share_speed = bounds.max_share_speed();
-        balancer.shedding.set_mode(bounds.shedding);
+        balancer.shedding.activation.set_mode(bounds.shedding);
         let mut kept = self.client.kept.borrow_mut();
-        kept.set_mode(bounds.kept_connections);
+        kept.activation.set_mode(bounds.kept_connections);
         *self.bounds.borrow_mut() = bounds;
     }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of a VM, as an adapter passes them to the gateway.
 
 use {
-    balance::{RetryRule, shedding},
+    balance::{Mode, RetryRule},
     customer::quota,
     std::{net::SocketAddr, time::Duration},
     wire::Map,
@@ -41,11 +41,11 @@
     /// Requests per second added to that rate.
     pub warmup_slack: f64,
     /// When requests are delayed and refused such that callers lose least.
-    pub shedding: shedding::Mode,
+    pub shedding: Mode,
     /// When requests that may run once only use kept connections.
-    pub kept_connections: shedding::Mode,
+    pub kept_connections: Mode,
     /// When the share of downloads that leaves a region is planned.
-    pub region_plans: shedding::Mode,
+    pub region_plans: Mode,
     /// How the rate limits of customers are enforced.
     pub quota: quota::Rule,
 }
