--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -5,6 +5,7 @@
 mod customers;
 mod eras;
 mod fair_share;
+mod fleet;
 mod freshness;
 mod queue_owners;
 mod quota;
--- a/crates/gateway/src/node/quota.rs
+++ b/crates/gateway/src/node/quota.rs
@@ -19,8 +19,7 @@
         time::Duration,
     },
     tokio::sync::Notify,
-    wire::{Map, Member, Status},
-    xxhash_rust::xxh3::Xxh3,
+    wire::{Map, Member},
 };
 
 /// Interval at which the state of customers is brought up to date.
@@ -47,7 +46,7 @@
     /// Customers whose refusals are counted by name.
     counted: RefCell<BTreeSet<String>>,
     /// The fleet for one generation of the member view.
-    fleet: Cell<Option<(u64, Fleet)>>,
+    pub(super) fleet: Cell<Option<(u64, Fleet)>>,
 }
 
 impl Default for Quotas {
@@ -522,36 +521,6 @@
         grantor.observe(fleet, &rule, is_owner, self.now());
     }
 
-    fn fleet(&self) -> Fleet {
-        let has_heard = self.known_vm_count().is_some();
-        let view = self.member_view();
-        let view_generation = view.generation();
-        if let Some((generation, fleet)) = self.quotas.fleet.get()
-            && generation == view_generation
-        {
-            return fleet;
-        }
-        let members = view.members();
-        let alive = members.iter().filter(|m| m.status == Status::Alive);
-        let mut names: Vec<&str> = alive.map(|m| m.name.as_str()).collect();
-        names.sort_unstable();
-        let mut hash = Xxh3::new();
-        for name in &names {
-            hash.update(name.as_bytes());
-            hash.update(b"\n");
-        }
-        let known = members.iter().filter(|m| m.status != Status::Leaving);
-        let fleet = Fleet {
-            generation: hash.digest(),
-            alive: names.len(),
-            known: has_heard.then(|| known.count()),
-        };
-        if has_heard {
-            self.quotas.fleet.set(Some((view_generation, fleet)));
-        }
-        fleet
-    }
-
     fn record_wait(&self, arrived_at: Duration) {
         let waited = self.now().saturating_sub(arrived_at);
         metrics::histogram!("cicadalift_quota_wait_seconds").record(waited.as_secs_f64());
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -122,7 +122,10 @@
         };
         let view = View::new(local_member(&settings), timeouts);
         let mut balancer = Balancer::new(settings.bounds.max_share_speed());
-        balancer.shedding.activation.set_mode(settings.bounds.shedding);
+        balancer
+            .shedding
+            .activation
+            .set_mode(settings.bounds.shedding);
         let kept_mode = settings.bounds.kept_connections;
         client.kept.borrow_mut().activation.set_mode(kept_mode);
         Self {
@@ -244,24 +247,21 @@
         self.route_table().version() > 0 && !self.catalog.borrow().is_empty()
     }
 
-    /// Returns the number of VMs, those that are gone included until their records are removed, or
-    /// `None` while this VM has heard neither of others nor from the store which ones there are.
-    pub(crate) fn known_vm_count(&self) -> Option<usize> {
-        let count = self.member_view().members().len();
-        let has_heard = count > 1 || self.is_registered.get();
-        has_heard.then_some(count)
-    }
-
     /// Records that this VM is registered, so that the other VMs can discover it.
     pub(crate) fn record_registration(&self) {
         self.is_registered.set(true);
     }
 
+    /// Returns whether this VM is registered, for which it has read the store's list of VMs.
+    pub(super) fn is_registered(&self) -> bool {
+        self.is_registered.get()
+    }
+
     /// Returns whether this VM accepts new callers. It waits until the other VMs can discover it:
     /// if it lost the store before that, nobody would tell it of changes.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let is_registered = self.is_registered.get() || self.now() >= MAX_REGISTRATION_WAIT;
+        let is_registered = self.is_registered() || self.now() >= MAX_REGISTRATION_WAIT;
         is_registered && self.has_routes_and_targets() && self.leaving_since().is_none()
     }
 
