--- a/review/stand/downloads.rs
+++ b/review/stand/downloads.rs
@@ -48,7 +48,7 @@
             .nth(2)
             .and_then(|n| n.parse().ok())
             .unwrap_or(1000),
-        has_length,
+        has_length: has_length || !request.second().ends_with("/pack"),
     });
     for n in 0..4_u8 {
         let zone = ZONES[usize::from(n) % target_zones].0;
@@ -119,10 +119,36 @@
     clients
 }
 
+/// Sends small downloads, whose answers state their lengths: 57 beside the three first ones of the clients.
+fn send_small(vm: &Vm, budget: Duration) -> Result<(), String> {
+    let front = vm.front();
+    let clients: Vec<_> = (0..19)
+        .map(|_| {
+            thread::spawn(move || {
+                let mut stream = connect_ethernet(front, 16_384).ok()?;
+                let mut ask =
+                    || download(&mut stream, HOST, "/media/2000/small", budget, 1e9, None);
+                let ends = [ask(), ask(), ask()];
+                ends.iter()
+                    .all(|end| end.status == 200 || end.status == 503)
+                    .then_some(())
+            })
+        })
+        .collect();
+    let answered = clients
+        .into_iter()
+        .filter_map(|client| client.join().ok().flatten())
+        .count();
+    (answered == 19)
+        .then_some(())
+        .ok_or_else(|| "a small download failed".to_owned())
+}
+
 /// LOST: a machine is stopped while clients slowly read answers that it has whole.
 pub fn restart(directory: &Path) -> Verdict {
     let mut deployment = deploy(directory, false, 1)?;
     let budget = Duration::from_millis(12_000);
+    send_small(&deployment.vms[0], budget)?;
     // The longest takes 5.4 s, which is up before the grace period is over.
     let sizes = [3_000_000, 3_500_000, 4_000_000];
     let clients = start_downloads(&deployment.vms[0], &sizes, 740_000.0, budget, None);
