GONE: a request that may run once is dropped until it is sent to a target

Cause: the line between what may be dropped and what goes on was drawn by the kind of the route when the request arrived, so that the wait for a target went on without a caller. The line is the send now (SendTracker): until bytes go to a target, and again after a target's word that it did not run the request, the request ends with its caller. A relaying VM closes its connection to the owner of the queue, which draws the same line. The same class: tokens of a customer were lost when the future was dropped (HeldToken).

Idempotent routes ruled out: both late requests of a traced run had reached their target before the close.

--- a/crates/gateway/src/frontend/attempt.rs
+++ b/crates/gateway/src/frontend/attempt.rs
@@ -4,7 +4,7 @@
     crate::{
         Node,
         http_client::{
-            Attempt, NotExecutedReason, Outcome, ResponseFault, Reuse, StreamEnd,
+            Attempt, NotExecutedReason, Outcome, Receiver, ResponseFault, Reuse, StreamEnd,
             TARGET_CONNECT_TIMEOUT, TargetRequest,
             relay::{Diversion, RelayContext, RelayOutcome},
         },
@@ -125,7 +125,10 @@
     reservation: &Reservation,
     vm: &QueueOwner,
 ) -> RelayOutcome {
-    let attempt = build_attempt(node, context, reservation, vm.address);
+    let attempt = Attempt {
+        receiver: Receiver::Vm,
+        ..build_attempt(node, context, reservation, vm.address)
+    };
     let waited = node.now().saturating_sub(context.arrived_at) + context.prior_wait;
     let relay_context = RelayContext {
         customer: context.customer_name(),
@@ -251,7 +254,7 @@
 
 fn build_attempt<'a>(
     node: &Node,
-    context: &RequestContext,
+    context: &'a RequestContext,
     reservation: &'a Reservation,
     address: SocketAddr,
 ) -> Attempt<'a> {
@@ -262,6 +265,8 @@
         retry_objective: None,
         connect_timeout: TARGET_CONNECT_TIMEOUT,
         reuse: Reuse::Any,
+        receiver: Receiver::Target,
+        tracker: &context.tracker,
     }
 }
 
--- a/crates/gateway/src/frontend/mod.rs
+++ b/crates/gateway/src/frontend/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod body;
+mod departure;
 mod head;
 mod hedge;
 mod identity;
--- a/crates/gateway/src/frontend/quota.rs
+++ b/crates/gateway/src/frontend/quota.rs
@@ -5,11 +5,12 @@
         head::RequestHead,
         response::{HttpResponse, limited_response, unavailable_response},
     },
-    crate::{Node, node::duration_ms},
-    customer::{
-        Customer,
-        quota::{Refusal, Token},
+    crate::{
+        Node,
+        http_client::SendTracker,
+        node::{HeldToken, duration_ms},
     },
+    customer::{Customer, quota::Refusal},
     std::rc::Rc,
 };
 
@@ -18,9 +19,12 @@
     node: &Rc<Node>,
     customer: &Customer,
     head: &RequestHead,
-) -> Result<Option<Token>, Box<HttpResponse>> {
+    tracker: &SendTracker,
+) -> Result<Option<HeldToken>, Box<HttpResponse>> {
     let refusal = match node.admit_customer(customer).await {
-        Ok(token) => return Ok(token),
+        Ok(token) => {
+            return Ok(token.map(|token| HeldToken::new(node, &customer.name, token, tracker)));
+        }
         Err(refusal) => refusal,
     };
     let id = head.request_id.to_str().unwrap_or_default();
--- a/crates/gateway/src/frontend/relayed.rs
+++ b/crates/gateway/src/frontend/relayed.rs
@@ -4,16 +4,17 @@
     super::{
         attempt::send_directly,
         body,
+        departure::{Attendance, run_request},
         head::RequestHead,
         identity::identify_relayed,
         response::{HttpResponse, text_response},
         retry::{into_caller_response, wait_for_target},
-        serve::{InFlightGuard, build_target_request, compute_fingerprint, run_request},
+        serve::{InFlightGuard, build_target_request, compute_fingerprint},
     },
     crate::{
         Node,
         http_client::{
-            Outcome, TargetRequest,
+            Outcome, SendTracker, TargetRequest,
             relay::{
                 COPY_HEADER, CUSTOMER_HEADER, CUT_OFF_HEADER, DIVERTED_HEADER, Diversion,
                 ELSEWHERE, ELSEWHERE_HEADER, FIRST_CHOICE_HEADER, FULL, LIMIT_AGE_MS_HEADER,
@@ -80,7 +81,8 @@
     node.record_arrival(&context);
     let fingerprint = compute_fingerprint(&context, &parts, &body);
     let target_request = build_target_request(&node, &head, &identity, parts, &body);
-    run_request(context.is_idempotent(), in_flight, async move {
+    let attendance = Attendance::new(&node, &context);
+    run_request(attendance, in_flight, async move {
         let response = send_to_target(&node, &context, &target_request, &fingerprint).await;
         drop(body);
         response
@@ -142,7 +144,8 @@
         customer: identity.customer().cloned(),
         arrived_at,
         share: None,
-        token: None,
+        _token: None,
+        tracker: SendTracker::default(),
         tried_targets: Vec::new(),
         divertible: Divertible::Closed,
         assignment: Some(Assignment {
--- a/crates/gateway/src/frontend/retry.rs
+++ b/crates/gateway/src/frontend/retry.rs
@@ -185,9 +185,6 @@
             is_shed,
             had_free_slots,
         }) => {
-            if let (Some(customer), Some(token)) = (&context.customer, context.token) {
-                node.give_back_token(&customer.name, token);
-            }
             let return_after = if is_shed {
                 node.plan_return(context, retry_after, had_free_slots)
             } else {
--- a/crates/gateway/src/frontend/serve.rs
+++ b/crates/gateway/src/frontend/serve.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         body::{self, BodyError, BufferedBody},
+        departure::{Attendance, run_request},
         head::{HeadError, RequestHead, remove_hop_by_hop_headers},
         identity::{identify_caller, set_customer},
         quota,
@@ -11,11 +12,11 @@
     },
     crate::{
         Node,
-        http_client::{TargetRequest, has_memory_for_stream},
+        http_client::{SendTracker, TargetRequest, has_memory_for_stream},
         memory::OutOfMemory,
         node::{Divertible, RequestContext, duration_ms},
     },
-    customer::{Identity, quota::Token},
+    customer::Identity,
     hyper::{Request, StatusCode, body::Incoming, http::request},
     route::{Kind, LookupError, Route, RouteTable},
     std::{rc::Rc, sync::Arc, time::Duration},
@@ -64,15 +65,15 @@
         route,
         identity,
     } = admitted;
+    let tracker = SendTracker::default();
     let token = match identity.customer() {
-        Some(customer) => match quota::admit(&node, customer, &head).await {
+        Some(customer) => match quota::admit(&node, customer, &head, &tracker).await {
             Ok(token) => token,
             Err(response) => return *response,
         },
         None => None,
     };
     if route.kind == Kind::Download && !has_memory_for_stream(&node.client.memory) {
-        give_back(&node, &identity, token);
         return body_error_response(&head, OutOfMemory.into());
     }
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
@@ -80,10 +81,7 @@
     let max_bytes = node.route_table().limits().max_body_bytes;
     let body = match body::read(&node, body, max_bytes, deadline).await {
         Ok(body) => body,
-        Err(error) => {
-            give_back(&node, &identity, token);
-            return body_error_response(&head, error);
-        }
+        Err(error) => return body_error_response(&head, error),
     };
     let service = node.select_service(&route);
     let caller_timeout = head.timeout.unwrap_or(route.timeout);
@@ -105,7 +103,8 @@
         deadline,
         caller_deadline: arrived_at.saturating_add(caller_timeout),
         share: None,
-        token,
+        _token: token.map(Rc::new),
+        tracker,
         tried_targets: Vec::new(),
         divertible: Divertible::Open,
         assignment: None,
@@ -114,7 +113,8 @@
     node.record_arrival(&context);
     let fingerprint = compute_fingerprint(&context, &parts, &body);
     let target_request = build_target_request(&node, &head, &identity, parts, &body);
-    run_request(context.is_idempotent(), in_flight, async move {
+    let attendance = Attendance::new(&node, &context);
+    run_request(attendance, in_flight, async move {
         let response =
             retry::send_with_retries(&node, context, &target_request, &fingerprint).await;
         drop(body);
@@ -123,38 +123,6 @@
     .await
 }
 
-/// Gives back the token of a request that is not sent.
-fn give_back(node: &Node, identity: &Identity, token: Option<Token>) {
-    if let (Some(customer), Some(token)) = (identity.customer(), token) {
-        node.give_back_token(&customer.name, token);
-    }
-}
-
-/// Runs an idempotent request until the client disconnects, any other to its end. It counts as in
-/// flight until its response has ended.
-///
-/// Hyper drops the future of a request whose client disconnects. A request that is not
-/// idempotent runs in a task of its own, which is not cancelled.
-pub(super) async fn run_request(
-    is_idempotent: bool,
-    in_flight: InFlightGuard,
-    future: impl Future<Output = HttpResponse> + 'static,
-) -> HttpResponse {
-    let future = async move {
-        let mut response = future.await;
-        response.body_mut().hold(in_flight);
-        response
-    };
-    if is_idempotent {
-        return future.await;
-    }
-    let task = tokio::task::spawn_local(future);
-    task.await.unwrap_or_else(|error| {
-        log::error!(event = "task_failed", reason:% = error; "request task panicked; responding with status 500");
-        text_response(StatusCode::INTERNAL_SERVER_ERROR, "internal error")
-    })
-}
-
 /// A request that may be served.
 struct Admitted {
     head: RequestHead,
--- a/crates/gateway/src/http_client/mod.rs
+++ b/crates/gateway/src/http_client/mod.rs
@@ -7,6 +7,7 @@
 mod request;
 mod response_body;
 mod send;
+mod send_tracker;
 
 pub use client::Client;
 pub(crate) use connection::set_socket_options;
@@ -15,3 +16,4 @@
 pub use response_body::{Incomplete, ResponseBody};
 pub(crate) use response_body::{StreamEnd, has_memory_for_stream};
 pub(crate) use send::{Attempt, Reuse, TARGET_CONNECT_TIMEOUT, TargetRequest};
+pub(crate) use send_tracker::{Receiver, SendTracker};
--- a/crates/gateway/src/http_client/relay.rs
+++ b/crates/gateway/src/http_client/relay.rs
@@ -207,6 +207,10 @@
     request: &TargetRequest,
     mut raw: RawResponse,
 ) -> RelayOutcome {
+    let text = raw.headers.get(OUTCOME_HEADER);
+    if text.is_some_and(|text| states_not_run(text.to_str().unwrap_or_default())) {
+        raw.transmission.record_not_run();
+    }
     let running_time = parse_millis(&raw.headers, &RUNNING_TIME_MS_HEADER);
     let retry_after = parse_millis(&raw.headers, &RETRY_AFTER_MS_HEADER).unwrap_or_default();
     let outcome = raw.headers.remove(OUTCOME_HEADER);
@@ -252,6 +256,11 @@
     }
 }
 
+/// Returns whether an outcome means that no target ran the request.
+fn states_not_run(outcome: &str) -> bool {
+    matches!(outcome, FULL | ELSEWHERE | NOT_SERVED) || NotExecutedReason::parse(outcome).is_some()
+}
+
 /// States whether the request may be handed back, in place of what a caller may have sent.
 fn set_diversion(headers: &mut HeaderMap, diversion: Diversion) {
     headers.remove(ELSEWHERE_HEADER);
--- a/crates/gateway/src/http_client/send.rs
+++ b/crates/gateway/src/http_client/send.rs
@@ -3,8 +3,11 @@
 use {
     super::{
         Client, NotExecutedReason, Outcome, ResponseBody, ResponseFault, TargetResponse,
-        client::CheckIn, connection::Connection, request::headers_length,
+        client::CheckIn,
+        connection::Connection,
+        request::headers_length,
         response_body::is_streamed,
+        send_tracker::{Receiver, SendTracker, Transmission},
     },
     crate::HeaderNames,
     balance::{Feedback, Field, body_time},
@@ -55,6 +58,9 @@
     pub(crate) connect_timeout: Duration,
     /// On which connections the request may be sent.
     pub(crate) reuse: Reuse,
+    pub(crate) receiver: Receiver,
+    /// Learns when the request is sent, and that it was not run.
+    pub(crate) tracker: &'a SendTracker,
 }
 
 /// On which connections a request may be sent.
@@ -75,6 +81,14 @@
     pub(super) body: ResponseBody,
     /// The connection, unless a streamed body holds it.
     pub(super) connection: Option<Connection>,
+    pub(super) transmission: Transmission,
+}
+
+/// The head of a response, whose body follows on its connection.
+struct Started {
+    response: Response<Incoming>,
+    connection: Connection,
+    transmission: Transmission,
 }
 
 impl Client {
@@ -99,7 +113,9 @@
         http_request: Request<Full<Bytes>>,
         attempt: &Attempt<'_>,
     ) -> Result<Outcome, Outcome> {
-        let (response, connection) = self.send(http_request, attempt).await?;
+        let mut started = self.send(http_request, attempt).await?;
+        let response = &started.response;
+        let connection = &started.connection;
         let has_id = response.headers().contains_key(&header_names.request_id);
         let mut head = check_head(header_names, request, response.status(), response.headers());
         // Without the identifier the response may be a late one to an earlier request, whose word
@@ -110,8 +126,11 @@
         if connection.is_reused && matches!(head, Err(Outcome::Indeterminate(_))) {
             self.record_break(attempt.address);
         }
+        if matches!(head, Err(Outcome::NotExecuted { .. })) {
+            started.transmission.record_not_run();
+        }
         head?;
-        let mut raw = self.receive_body(response, connection, attempt).await?;
+        let mut raw = self.receive_body(started, attempt).await?;
         let connection = raw.connection.take();
         let outcome = classify_response(header_names, request, raw);
         if let (Outcome::Answered(response), Some(connection)) = (&outcome, connection) {
@@ -127,8 +146,8 @@
         request: Request<Full<Bytes>>,
         attempt: &Attempt<'_>,
     ) -> Result<RawResponse, Outcome> {
-        let (response, connection) = self.send(request, attempt).await?;
-        self.receive_body(response, connection, attempt).await
+        let started = self.send(request, attempt).await?;
+        self.receive_body(started, attempt).await
     }
 
     /// Sends a request and returns the head of the response, with the connection on which its body
@@ -137,7 +156,7 @@
         &self,
         mut request: Request<Full<Bytes>>,
         attempt: &Attempt<'_>,
-    ) -> Result<(Response<Incoming>, Connection), Outcome> {
+    ) -> Result<Started, Outcome> {
         let mut idle = self.check_out_for(attempt).await;
         loop {
             let is_reused = idle.is_some();
@@ -151,6 +170,7 @@
                     None => return Err(Outcome::unreachable()),
                 },
             };
+            let mut transmission = attempt.tracker.begin(attempt.receiver);
             let response = connection.sender.try_send_request(request);
             let response = match tokio::time::timeout_at(attempt.deadline, response).await {
                 Err(_) => {
@@ -162,10 +182,12 @@
                 Ok(Err(mut failed)) => match failed.take_message() {
                     // The target closed the idle connection: retry on a new one.
                     Some(unsent) if is_reused => {
+                        transmission.record_not_run();
                         request = unsent;
                         continue;
                     }
                     Some(_) => {
+                        transmission.record_not_run();
                         return Err(Outcome::NotExecuted {
                             reason: NotExecutedReason::Unsent,
                             feedback: None,
@@ -180,17 +202,25 @@
                 },
                 Ok(Ok(response)) => response,
             };
-            return Ok((response, connection));
+            return Ok(Started {
+                response,
+                connection,
+                transmission,
+            });
         }
     }
 
     /// Reads the body of a response, or leaves it to be streamed if it is long.
     async fn receive_body(
         self: &Rc<Self>,
-        response: Response<Incoming>,
-        connection: Connection,
+        started: Started,
         attempt: &Attempt<'_>,
     ) -> Result<RawResponse, Outcome> {
+        let Started {
+            response,
+            connection,
+            transmission,
+        } = started;
         let (parts, incoming) = response.into_parts();
         if is_streamed(&incoming) {
             let check_in = self.check_in_for(attempt, &parts.headers);
@@ -204,6 +234,7 @@
                     headers: parts.headers,
                     body,
                     connection: None,
+                    transmission,
                 }),
             };
         }
@@ -220,6 +251,7 @@
                 headers: parts.headers,
                 body,
                 connection: Some(connection),
+                transmission,
             }),
         }
     }
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -7,6 +7,7 @@
 mod fair_share;
 mod fleet;
 mod freshness;
+mod held_token;
 mod queue_owners;
 mod quota;
 mod reachability;
@@ -24,6 +25,7 @@
 
 use changes::to_f64;
 pub(crate) use copies::CopyCheck;
+pub(crate) use held_token::HeldToken;
 pub(crate) use queue_owners::{AVOID_TIME, Path, QueueOwner, QueueOwners};
 pub(crate) use quota::{Quotas, Reaction, maintain_quotas};
 pub(crate) use reachability::check_reachability;
--- a/crates/gateway/src/node/request.rs
+++ b/crates/gateway/src/node/request.rs
@@ -1,10 +1,10 @@
 //! The context of a request and the resources that are held for it.
 
 use {
-    super::{Node, QueueOwner, fair_share::ShareEntry},
-    crate::http_client::relay::Diversion,
+    super::{HeldToken, Node, QueueOwner, fair_share::ShareEntry},
+    crate::http_client::{SendTracker, relay::Diversion},
     balance::{Dispatch, PendingRequest, QueueKey},
-    customer::{Customer, quota::Token},
+    customer::Customer,
     route::Route,
     std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
 };
@@ -30,8 +30,10 @@
     /// Position among the requests that wait at this VM.
     pub(crate) queue_key: QueueKey,
     /// Token of its customer that it spends here; `None` if its customer has no quota, or another VM
-    /// took it.
-    pub(crate) token: Option<Token>,
+    /// took it. Held until the request ends.
+    pub(crate) _token: Option<Rc<HeldToken>>,
+    /// Whether the request may be at a target.
+    pub(crate) tracker: SendTracker,
     /// Its part of the share of its customer; `None` without one.
     pub(crate) share: Option<Rc<ShareEntry>>,
     /// Targets that earlier attempts were sent to.
