LOST: a VM that is stopped answers what it owes before it ends

Cause: the end of the process followed the clock (MIN_SHUTDOWN_TIME, GRACE_MARGIN) and not what it owed: an answer for each request that was read, and the bytes of each answer up to the socket.

Change: the time that a decision has ends with the VM that owes the answer (node::shutdown). What would be too late is refused at once with a short Retry-After; the owner of a queue hands it back and the relaying VM chooses anew; what waits elsewhere for a VM that leaves is handed back to it in time. A request is in flight, and its memory counted, until its response is written (transport::Unwritten). Quota waits and bodies being read end with a 503.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -29,6 +29,7 @@
 mod selection;
 mod senders;
 pub mod shedding;
+pub mod shutdown;
 mod slow_start;
 mod target_stats;
 pub mod updates;
--- a/crates/gateway/src/frontend/attempt.rs
+++ b/crates/gateway/src/frontend/attempt.rs
@@ -25,6 +25,8 @@
     Full(Duration),
     /// The request is to run at another target of its object, which may load it for the request or not.
     Elsewhere { may_load: bool },
+    /// The VM that owns the target's queue ends before the request could be answered.
+    HandedBack,
 }
 
 /// Sends a request to a target, through the VM that owns the target's queue if there is another, or
@@ -73,6 +75,10 @@
             RelayOutcome::Elsewhere { may_load } => {
                 return Err(Refusal::Elsewhere { may_load });
             }
+            RelayOutcome::Leaving => {
+                node.avoid_queue_owner(vm, node.now());
+                return Err(Refusal::HandedBack);
+            }
             RelayOutcome::NotServed {
                 statements,
                 is_cut_off,
@@ -131,6 +137,7 @@
     };
     let waited = node.now().saturating_sub(context.arrived_at) + context.prior_wait;
     let relay_context = RelayContext {
+        relayed_by: &node.settings.name,
         customer: context.customer_name(),
         is_first_choice: reservation.dispatch.affinity != Affinity::Unknown,
         is_copy: reservation.is_copy,
--- a/crates/gateway/src/frontend/departure.rs
+++ b/crates/gateway/src/frontend/departure.rs
@@ -55,18 +55,18 @@
 }
 
 /// Runs a request until its caller leaves, or to its end if it is at a target then and may run once
-/// only. It counts as in flight until its response has ended.
+/// only. It counts as in flight as long as it runs.
 ///
 /// Hyper drops the future of a request whose caller disconnects. A request that may run once only runs
 /// in a task of its own, which is not cancelled while it is at a target.
 pub(super) async fn run_request(
     mut attendance: Attendance,
-    in_flight: InFlightGuard,
+    in_flight: Rc<InFlightGuard>,
     future: impl Future<Output = HttpResponse> + 'static,
 ) -> HttpResponse {
     let future = async move {
-        let mut response = future.await;
-        response.body_mut().hold(in_flight);
+        let response = future.await;
+        drop(in_flight);
         response
     };
     let response = if attendance.is_idempotent {
--- a/crates/gateway/src/frontend/progress.rs
+++ b/crates/gateway/src/frontend/progress.rs
@@ -9,6 +9,9 @@
     std::time::Duration,
 };
 
+/// `Retry-After` of a VM that is shutting down, as the caller goes to another one.
+pub(super) const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// Why a request ended without a response from a target.
 pub(super) enum Failure {
     /// No target ran the request, so that the caller may safely retry it.
@@ -126,6 +129,19 @@
         }
     }
 
+    /// Returns the failure of a request that this VM has no time for before it ends.
+    pub(super) fn leaving_failure(&self) -> Failure {
+        match self.indeterminate_reason {
+            Some(reason) => Failure::Indeterminate(reason),
+            None => Failure::NotExecuted {
+                reason: "leaving",
+                retry_after: LEAVING_RETRY_AFTER,
+                is_shed: false,
+                had_free_slots: false,
+            },
+        }
+    }
+
     /// Returns the failure of a request that no other target may run. It is indeterminate if an
     /// earlier attempt may have run the request.
     pub(super) fn no_target_failure(&self, retry_after: Duration) -> Failure {
--- a/crates/gateway/src/frontend/relayed.rs
+++ b/crates/gateway/src/frontend/relayed.rs
@@ -8,8 +8,8 @@
         head::RequestHead,
         identity::identify_relayed,
         response::{HttpResponse, text_response},
-        retry::{into_caller_response, wait_for_target},
-        serve::{InFlightGuard, build_target_request, compute_fingerprint},
+        retry::{Denial, into_caller_response, wait_for_target},
+        serve::{InFlightGuard, before_end, build_target_request, compute_fingerprint},
     },
     crate::{
         Node,
@@ -17,9 +17,10 @@
             Outcome, SendTracker, TargetRequest,
             relay::{
                 COPY_HEADER, CUSTOMER_HEADER, CUT_OFF_HEADER, DIVERTED_HEADER, Diversion,
-                ELSEWHERE, ELSEWHERE_HEADER, FIRST_CHOICE_HEADER, FULL, LIMIT_AGE_MS_HEADER,
-                MAY_LOAD_HEADER, NOT_SERVED, OUTCOME_HEADER, RETRY_AFTER_MS_HEADER,
-                RUNNING_TIME_MS_HEADER, STARTED_AT_MS_HEADER, TARGET_HEADER, WAITED_MS_HEADER,
+                ELSEWHERE, ELSEWHERE_HEADER, FIRST_CHOICE_HEADER, FULL, LEAVING_HEADER,
+                LIMIT_AGE_MS_HEADER, MAY_LOAD_HEADER, NOT_SERVED, OUTCOME_HEADER,
+                RELAYED_BY_HEADER, RETRY_AFTER_MS_HEADER, RUNNING_TIME_MS_HEADER,
+                STARTED_AT_MS_HEADER, TARGET_HEADER, WAITED_MS_HEADER,
             },
         },
         node::{Assignment, Divertible, RequestContext, Reservation, Selection, duration_ms},
@@ -40,14 +41,25 @@
     request.headers().contains_key(&TARGET_HEADER)
 }
 
-/// Queues a relayed request, sends it to its target and returns the response.
+/// Serves a relayed request. It counts as in flight until its response is written.
 ///
 /// The [`OUTCOME_HEADER`] of the response states how the exchange with the target ended.
 pub(crate) async fn serve_relayed_request(
     node: Rc<Node>,
     request: Request<Incoming>,
 ) -> HttpResponse {
-    let in_flight = InFlightGuard::new(&node);
+    let in_flight = Rc::new(InFlightGuard::new(&node));
+    let mut response = respond(node, request, in_flight.clone()).await;
+    response.body_mut().hold(in_flight);
+    response
+}
+
+/// Queues a relayed request, sends it to its target and returns the response.
+async fn respond(
+    node: Rc<Node>,
+    request: Request<Incoming>,
+    in_flight: Rc<InFlightGuard>,
+) -> HttpResponse {
     let (mut parts, body) = request.into_parts();
     let target = parts.headers.get(TARGET_HEADER).cloned();
     let is_cut_off = node.is_cut_off();
@@ -75,19 +87,24 @@
         identity,
     } = relayed;
     let max_bytes = node.route_table().limits().max_body_bytes;
-    let Ok(body) = body::read(&node, body, max_bytes, context.deadline).await else {
+    let body = body::read(&node, body, max_bytes, context.deadline);
+    let Some(body) = before_end(&node, body).await else {
+        return leaving_response(&context);
+    };
+    let Ok(body) = body else {
         return not_served_response("body not read");
     };
     node.record_arrival(&context);
     let fingerprint = compute_fingerprint(&context, &parts, &body);
     let target_request = build_target_request(&node, &head, &identity, parts, &body);
     let attendance = Attendance::new(&node, &context);
-    run_request(attendance, in_flight, async move {
+    // Boxed, as the future is large and is moved.
+    let run = Box::pin(async move {
         let response = send_to_target(&node, &context, &target_request, &fingerprint).await;
         drop(body);
         response
-    })
-    .await
+    });
+    run_request(attendance, in_flight, run).await
 }
 
 fn not_served_response(reason: &'static str) -> HttpResponse {
@@ -115,6 +132,8 @@
         .is_some_and(|value| value == "1");
     let is_copy = parts.headers.remove(COPY_HEADER).is_some();
     let diversion = parse_diversion(&mut parts.headers);
+    let relayed_by = parts.headers.remove(RELAYED_BY_HEADER);
+    let relayed_by = relayed_by.and_then(|name| name.to_str().ok().map(str::to_owned));
     let waited_ms = parts.headers.remove(WAITED_MS_HEADER);
     let waited_ms = waited_ms.and_then(|value| value.to_str().ok()?.parse().ok());
     let customer_name = parts.headers.remove(CUSTOMER_HEADER);
@@ -153,6 +172,7 @@
             is_first_choice,
             is_copy,
             diversion,
+            relayed_by,
         }),
     };
     context.enter_shares(node);
@@ -212,11 +232,8 @@
 /// Reserves the assigned target. A copy is handed back unless the target has room for it now.
 ///
 /// # Errors
-/// Returns the delay after which the target is expected to have room.
-async fn reserve_target(
-    node: &Rc<Node>,
-    context: &RequestContext,
-) -> Result<Reservation, Duration> {
+/// Returns why the target is not to be had.
+async fn reserve_target(node: &Rc<Node>, context: &RequestContext) -> Result<Reservation, Denial> {
     let assignment = context.assignment.as_ref();
     if assignment.is_none_or(|assignment| !assignment.is_copy) {
         return wait_for_target(node, context).await;
@@ -225,7 +242,7 @@
         Selection::Send(reservation) if hedge::has_room_for_copy(&reservation.dispatch) => {
             Ok(*reservation)
         }
-        _ => Err(context.route.objective),
+        _ => Err(Denial::Full(context.route.objective)),
     }
 }
 
@@ -241,7 +258,13 @@
     let reservation = match reserve_target(node, context).await {
         Ok(reservation) => reservation,
         Err(_) if is_ejected(node, context) => return outcome_response(Outcome::unreachable()),
-        Err(retry_after) => {
+        Err(Denial::Leaving) if node.leaving_since().is_some() => return leaving_response(context),
+        Err(denial) => {
+            let retry_after = match denial {
+                Denial::Full(retry_after) => retry_after,
+                // The VM that relayed it leaves, and has no time for another wait.
+                Denial::Leaving => context.route.objective,
+            };
             let target = context
                 .assignment
                 .as_ref()
@@ -284,6 +307,15 @@
     response
 }
 
+/// Returns the response that hands a request back because this VM ends before it could be answered.
+fn leaving_response(context: &RequestContext) -> HttpResponse {
+    log::info!(event = "handed_back", request = context.id.as_str(), reason = "leaving"; "relayed request not accepted: this VM ends before it could be answered");
+    let mut response = not_served_response("leaving");
+    let headers = response.headers_mut();
+    headers.insert(LEAVING_HEADER, HeaderValue::from_static("1"));
+    response
+}
+
 /// Adds to a refusal what this VM knows of the target, of which process of it, and since when.
 fn state_target(node: &Node, target: &str, headers: &mut HeaderMap) {
     let feedback = node.feedback(target);
--- a/crates/gateway/src/frontend/retry.rs
+++ b/crates/gateway/src/frontend/retry.rs
@@ -21,6 +21,15 @@
 /// A request with less time left is not sent, as no target could respond within it.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 
+/// Why there is no target for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Denial {
+    /// A target is expected to have room after this time.
+    Full(Duration),
+    /// This VM ends before the response, or the one that relayed the request.
+    Leaving,
+}
+
 /// Runs a request to its end, logs it and returns the response for the caller.
 pub(crate) async fn send_with_retries(
     node: &Rc<Node>,
@@ -59,7 +68,8 @@
         }
         let reservation = match reserve_next(node, context).await {
             Ok(reservation) => reservation,
-            Err(retry_after) => {
+            Err(Denial::Leaving) => return Err(progress.leaving_failure()),
+            Err(Denial::Full(retry_after)) => {
                 node.record_room(context, false);
                 return Err(progress.no_room_failure(retry_after));
             }
@@ -81,11 +91,17 @@
             context.divert(&target, may_load);
             continue;
         }
+        if let Err(Refusal::HandedBack) = attempted.result {
+            context.tried_targets.retain(|tried| *tried != target);
+            continue;
+        }
         // Whatever failed, the request goes to any of its targets from now on.
         context.divertible = Divertible::Closed;
         node.record_room(context, attempted.result.is_ok());
         match attempted.result {
-            Err(Refusal::Elsewhere { .. }) => progress.record_full(context.route.objective)?,
+            Err(Refusal::Elsewhere { .. } | Refusal::HandedBack) => {
+                progress.record_full(context.route.objective)?;
+            }
             Err(Refusal::Full(retry_after)) => progress.record_full(retry_after)?,
             Ok(outcome) => {
                 if let Some(response) = progress.record_outcome(context, outcome)? {
@@ -100,11 +116,11 @@
 /// otherwise the one with the lowest cost.
 ///
 /// # Errors
-/// Returns the delay after which a target is expected to have room.
+/// Returns why there is no target.
 async fn reserve_next(
     node: &Rc<Node>,
     context: &mut RequestContext,
-) -> Result<Reservation, Duration> {
+) -> Result<Reservation, Denial> {
     if let Divertible::Diverted { may_load, .. } = context.divertible {
         if let Some(reservation) = node.reserve_second_home(context, may_load, false) {
             return Ok(reservation);
@@ -117,17 +133,18 @@
 /// Chooses a target, and queues the request while that still leaves time for a response.
 ///
 /// # Errors
-/// Returns the delay after which a target is expected to have room.
+/// Returns why there is no target.
 pub(super) async fn wait_for_target(
     node: &Rc<Node>,
     context: &RequestContext,
-) -> Result<Reservation, Duration> {
+) -> Result<Reservation, Denial> {
     let mut queued: Option<(String, QueueEntry)> = None;
     let mut awaited_load = false;
     loop {
         match node.select_target(context) {
             Selection::Send(reservation) => return Ok(*reservation),
-            Selection::Refuse { retry_after } => return Err(retry_after),
+            Selection::Refuse { retry_after } => return Err(Denial::Full(retry_after)),
+            Selection::Leaving => return Err(Denial::Leaving),
             Selection::Wait {
                 is_queued: false,
                 target,
--- a/crates/gateway/src/frontend/serve.rs
+++ b/crates/gateway/src/frontend/serve.rs
@@ -6,6 +6,7 @@
         departure::{Attendance, run_request},
         head::{HeadError, RequestHead, remove_hop_by_hop_headers},
         identity::{identify_caller, set_customer},
+        progress::LEAVING_RETRY_AFTER,
         quota,
         response::{HttpResponse, text_response, unavailable_response},
         retry,
@@ -29,7 +30,6 @@
 const ACCEPT_WHILE_LEAVING: Duration = Duration::from_millis(2900);
 /// `Retry-After` of a route that cannot be served before the operator changes it.
 const UNUSABLE_ROUTE_RETRY_AFTER: Duration = Duration::from_secs(5);
-const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(50);
 const OUT_OF_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Counts a request as in flight until it is dropped.
@@ -48,12 +48,22 @@
     }
 }
 
-/// Serves one request of a caller.
+/// Serves one request of a caller. It counts as in flight until its response is written.
 pub(crate) async fn serve_caller_request(
     node: Rc<Node>,
     request: Request<Incoming>,
 ) -> HttpResponse {
-    let in_flight = InFlightGuard::new(&node);
+    let in_flight = Rc::new(InFlightGuard::new(&node));
+    let mut response = respond(node, request, in_flight.clone()).await;
+    response.body_mut().hold(in_flight);
+    response
+}
+
+async fn respond(
+    node: Rc<Node>,
+    request: Request<Incoming>,
+    in_flight: Rc<InFlightGuard>,
+) -> HttpResponse {
     let arrived_at = node.now();
     let (parts, body) = request.into_parts();
     let admitted = match admit_request(&node, &parts) {
@@ -67,10 +77,14 @@
     } = admitted;
     let tracker = SendTracker::default();
     let token = match identity.customer() {
-        Some(customer) => match quota::admit(&node, customer, &head, &tracker).await {
-            Ok(token) => token,
-            Err(response) => return *response,
-        },
+        Some(customer) => {
+            let admission = quota::admit(&node, customer, &head, &tracker);
+            match before_end(&node, admission).await {
+                Some(Ok(token)) => token,
+                Some(Err(response)) => return *response,
+                None => return leaving_response(&head),
+            }
+        }
         None => None,
     };
     if route.kind == Kind::Download && !has_memory_for_stream(&node.client.memory) {
@@ -79,9 +93,10 @@
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived_at + timeout;
     let max_bytes = node.route_table().limits().max_body_bytes;
-    let body = match body::read(&node, body, max_bytes, deadline).await {
-        Ok(body) => body,
-        Err(error) => return body_error_response(&head, error),
+    let body = match before_end(&node, body::read(&node, body, max_bytes, deadline)).await {
+        Some(Ok(body)) => body,
+        Some(Err(error)) => return body_error_response(&head, error),
+        None => return leaving_response(&head),
     };
     let service = node.select_service(&route);
     let caller_timeout = head.timeout.unwrap_or(route.timeout);
@@ -114,13 +129,23 @@
     let fingerprint = compute_fingerprint(&context, &parts, &body);
     let target_request = build_target_request(&node, &head, &identity, parts, &body);
     let attendance = Attendance::new(&node, &context);
-    run_request(attendance, in_flight, async move {
+    // Boxed, as the future is large and is moved.
+    let run = Box::pin(async move {
         let response =
             retry::send_with_retries(&node, context, &target_request, &fingerprint).await;
         drop(body);
         response
-    })
-    .await
+    });
+    run_request(attendance, in_flight, run).await
+}
+
+/// Awaits a step before a request is sent. Returns `None` if this VM has to end before that.
+pub(super) async fn before_end<T>(node: &Node, step: impl Future<Output = T>) -> Option<T> {
+    tokio::select! {
+        biased;
+        result = step => Some(result),
+        () = node.end_of_answers() => None,
+    }
 }
 
 /// A request that may be served.
@@ -150,11 +175,7 @@
     }
     let leaving = node.leaving_since();
     if leaving.is_some_and(|since| node.now().saturating_sub(since) > ACCEPT_WHILE_LEAVING) {
-        log::info!(event = "request_refused", request = id, status = 503, reason = "leaving"; "request refused: this VM is shutting down");
-        return Err(Box::new(unavailable_response(
-            "stopping",
-            LEAVING_RETRY_AFTER,
-        )));
+        return Err(Box::new(leaving_response(&head)));
     }
     let table = node.route_table();
     let route = table
@@ -168,6 +189,13 @@
     })
 }
 
+/// Returns the response to a request for which this VM has no time before it ends.
+fn leaving_response(head: &RequestHead) -> HttpResponse {
+    let id = head.request_id.to_str().unwrap_or_default();
+    log::info!(event = "request_refused", request = id, status = 503, reason = "leaving"; "request refused: this VM is shutting down");
+    unavailable_response("stopping", LEAVING_RETRY_AFTER)
+}
+
 fn no_route_response(
     node: &Node,
     head: &RequestHead,
--- a/crates/gateway/src/frontend/server.rs
+++ b/crates/gateway/src/frontend/server.rs
@@ -2,7 +2,7 @@
 
 use {
     super::HttpResponse,
-    crate::{GatewayError, http_client::set_socket_options},
+    crate::{GatewayError, http_client::set_socket_options, transport::Stream},
     hyper::{Request, body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     route::Limits,
@@ -115,9 +115,16 @@
         log::debug!(event = "connection_ended", reason:% = error; "server connection closed: socket options could not be set");
         return;
     }
+    let stream = Stream::new(stream);
+    let unwritten = stream.unwritten();
     let service = service_fn(move |request| {
         let response = handler(request);
-        async move { Ok::<_, Infallible>(response.await) }
+        let unwritten = unwritten.clone();
+        async move {
+            let mut response = response.await;
+            response.body_mut().hold_until_written(unwritten);
+            Ok::<_, Infallible>(response)
+        }
     });
     let is_leaving = config
         .leaving
--- a/crates/gateway/src/http_client/relay.rs
+++ b/crates/gateway/src/http_client/relay.rs
@@ -34,6 +34,9 @@
 pub(crate) const WAITED_MS_HEADER: HeaderName = HeaderName::from_static("cicadalift-waited-ms");
 /// Request header: name of the customer that makes the request; missing without one.
 pub(crate) const CUSTOMER_HEADER: HeaderName = HeaderName::from_static("cicadalift-customer");
+/// Request header: name of the VM that relays the request, so that the request does not wait for
+/// longer than that VM lives.
+pub(crate) const RELAYED_BY_HEADER: HeaderName = HeaderName::from_static("cicadalift-from");
 /// Response header: outcome of the exchange with the target.
 pub(crate) const OUTCOME_HEADER: HeaderName = HeaderName::from_static("cicadalift-outcome");
 /// Response header: milliseconds until the target is expected to have room.
@@ -44,6 +47,10 @@
 /// Response header, beside the outcome [`NOT_SERVED`]: present if the VM reaches no target.
 pub(crate) const CUT_OFF_HEADER: HeaderName = HeaderName::from_static("cicadalift-cut-off");
 
+/// Response header, beside the outcome [`NOT_SERVED`]: present if the VM ends before the request could
+/// be answered.
+pub(crate) const LEAVING_HEADER: HeaderName = HeaderName::from_static("cicadalift-leaving");
+
 /// Response header, beside the outcomes [`FULL`] and [`NOT_SERVED`]: when the process of the target
 /// started of which the VM knows, in milliseconds of its own clock. Missing if the target is not known.
 pub(crate) const STARTED_AT_MS_HEADER: HeaderName =
@@ -66,6 +73,8 @@
 
 /// Data by which the VM that owns the queue determines the position of the request.
 pub(crate) struct RelayContext<'a> {
+    /// Name of this VM.
+    pub(crate) relayed_by: &'a str,
     /// Name of the customer; empty without one.
     pub(crate) customer: &'a str,
     /// Whether the target is expected to have the request's object cached.
@@ -142,6 +151,8 @@
         /// Whether the VM reaches no target.
         is_cut_off: bool,
     },
+    /// The VM ends before the request could be answered. It was not sent.
+    Leaving,
     /// The VM cannot be reached.
     Unreachable,
     /// The VM returned no response, so the target may have run the request.
@@ -166,6 +177,10 @@
         headers.remove(CUSTOMER_HEADER);
         headers.remove(COPY_HEADER);
         set_diversion(headers, context.diversion);
+        headers.remove(RELAYED_BY_HEADER);
+        if let Ok(name) = HeaderValue::from_str(context.relayed_by) {
+            headers.insert(RELAYED_BY_HEADER, name);
+        }
         if !context.customer.is_empty()
             && let Ok(name) = HeaderValue::from_str(context.customer)
         {
@@ -230,6 +245,7 @@
                 may_load: may_load.is_some_and(|value| value == "1"),
             };
         }
+        NOT_SERVED if raw.headers.contains_key(LEAVING_HEADER) => return RelayOutcome::Leaving,
         NOT_SERVED => {
             return RelayOutcome::NotServed {
                 statements: OwnerStatements::parse(header_names, &raw.headers),
--- a/crates/gateway/src/http_client/response_body.rs
+++ b/crates/gateway/src/http_client/response_body.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{ResponseFault, client::CheckIn, connection::Connection},
-    crate::memory::{MemoryBudget, MemoryReservation, OutOfMemory},
+    crate::{
+        memory::{MemoryBudget, MemoryReservation, OutOfMemory},
+        transport::{Guard, Unwritten},
+    },
     bytes::Bytes,
     http_body_util::BodyExt,
     hyper::body::{Body, Frame, Incoming, SizeHint},
@@ -51,14 +54,17 @@
 
 /// Body of a response. It is complete only if it ends without an error.
 #[derive(Debug)]
-pub struct ResponseBody(Content);
+pub struct ResponseBody {
+    content: Content,
+    /// Released when the response is written.
+    guards: Vec<Guard>,
+    /// Takes the guards over when the HTTP library drops the body, whose bytes it may still hold.
+    unwritten: Option<Unwritten>,
+}
 
 #[derive(Debug)]
 enum Content {
-    Whole {
-        bytes: Bytes,
-        _reservation: Option<MemoryReservation>,
-    },
+    Whole(Bytes),
     Streamed(Streamed),
 }
 
@@ -147,7 +153,7 @@
             tokio::time::sleep_until(deadline).await;
             end_source(&watched, StreamEnd::TimedOut);
         });
-        Ok(Self(Content::Streamed(Streamed {
+        Ok(Self::new(Content::Streamed(Streamed {
             remaining_bytes,
             source,
             watchdog: watchdog.abort_handle(),
@@ -177,30 +183,42 @@
                 .map_err(|_| ResponseFault::TooLarge)?;
             buffer.extend_from_slice(&data);
         }
-        Ok(Self(Content::Whole {
-            bytes: Bytes::from(buffer),
-            _reservation: Some(reservation),
-        }))
+        let mut body = Self::from(Bytes::from(buffer));
+        body.hold(reservation);
+        Ok(body)
     }
 
     /// Returns whether the body is passed on while it arrives.
     pub(crate) fn is_streamed(&self) -> bool {
-        matches!(self.0, Content::Streamed(_))
+        matches!(self.content, Content::Streamed(_))
     }
 
     /// Adds a function that is called when a streamed body ends. For any other body, and for one
     /// that has ended, it is dropped.
     pub(crate) fn on_end(&mut self, on_end: impl FnOnce(StreamEnd) + 'static) {
-        if let Content::Streamed(streamed) = &self.0
+        if let Content::Streamed(streamed) = &self.content
             && let Some(source) = streamed.source.borrow_mut().as_mut()
         {
             source.on_end.push(Box::new(on_end));
         }
     }
 
-    /// Holds a guard until a streamed body ends. For any other body it is dropped now.
+    /// Holds a guard until the response is written, or given up.
     pub(crate) fn hold(&mut self, guard: impl Sized + 'static) {
-        self.on_end(move |_| drop(guard));
+        self.guards.push(Box::new(guard));
+    }
+
+    /// Leaves the guards to a connection, until it has written the response.
+    pub(crate) fn hold_until_written(&mut self, unwritten: Unwritten) {
+        self.unwritten = Some(unwritten);
+    }
+
+    fn new(content: Content) -> Self {
+        Self {
+            content,
+            guards: Vec::new(),
+            unwritten: None,
+        }
     }
 }
 
@@ -222,10 +240,15 @@
 
 impl From<Bytes> for ResponseBody {
     fn from(bytes: Bytes) -> Self {
-        Self(Content::Whole {
-            bytes,
-            _reservation: None,
-        })
+        Self::new(Content::Whole(bytes))
+    }
+}
+
+impl Drop for ResponseBody {
+    fn drop(&mut self) {
+        if let Some(unwritten) = self.unwritten.take() {
+            unwritten.hold(std::mem::take(&mut self.guards));
+        }
     }
 }
 
@@ -284,25 +307,23 @@
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Incomplete>>> {
-        match &mut self.get_mut().0 {
-            Content::Whole { bytes, .. } if bytes.is_empty() => Poll::Ready(None),
-            Content::Whole { bytes, .. } => {
-                Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes)))))
-            }
+        match &mut self.get_mut().content {
+            Content::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
+            Content::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
             Content::Streamed(streamed) => streamed.poll_frame(context),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        match &self.0 {
-            Content::Whole { bytes, .. } => bytes.is_empty(),
+        match &self.content {
+            Content::Whole(bytes) => bytes.is_empty(),
             Content::Streamed(streamed) => streamed.remaining_bytes == 0,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
-        match &self.0 {
-            Content::Whole { bytes, .. } => {
+        match &self.content {
+            Content::Whole(bytes) => {
                 SizeHint::with_exact(u64::try_from(bytes.len()).unwrap_or(u64::MAX))
             }
             Content::Streamed(streamed) => SizeHint::with_exact(streamed.remaining_bytes),
--- a/crates/gateway/src/launch.rs
+++ b/crates/gateway/src/launch.rs
@@ -23,8 +23,6 @@
 const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// A VM keeps serving for at least this long during a shutdown, so that callers switch to others.
 const MIN_SHUTDOWN_TIME: Duration = Duration::from_secs(3);
-/// The process ends this long before the grace period is over, as it would be killed then.
-const GRACE_MARGIN: Duration = Duration::from_millis(200);
 /// Fraction of the file descriptors that connections of callers may take.
 const CALLER_DESCRIPTOR_SHARE: (usize, usize) = (3, 5);
 const MAX_METRICS_CONNECTIONS: usize = 128;
@@ -242,13 +240,12 @@
     tokio::task::spawn_local(store::unregister_vm(node.clone()));
     log::info!(event = "leaving", vm = node.settings.name.as_str(), in_flight = node.in_flight.get(); "shutdown started: waiting for requests in flight");
     let started_at = node.now();
-    let deadline = started_at + node.bounds().grace.saturating_sub(GRACE_MARGIN);
     loop {
         tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
         let now = node.now();
         let is_drained =
             node.in_flight.get() == 0 && now.saturating_sub(started_at) >= MIN_SHUTDOWN_TIME;
-        if is_drained || now >= deadline {
+        if is_drained || node.ends_at().is_none_or(|ends_at| now >= ends_at) {
             return;
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod peers;
 mod settings;
 mod store;
+mod transport;
 
 pub use clock::Clock;
 pub use errors::{GatewayError, StoreError};
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -17,6 +17,7 @@
 mod second_home;
 mod selection;
 mod shedding;
+mod shutdown;
 mod state;
 mod statements;
 mod store_health;
--- a/crates/gateway/src/node/request.rs
+++ b/crates/gateway/src/node/request.rs
@@ -67,6 +67,8 @@
     pub(crate) is_copy: bool,
     /// What is possible beside the request's first target.
     pub(crate) diversion: Diversion,
+    /// Name of the VM that relayed the request; `None` if it is of a build that does not say.
+    pub(crate) relayed_by: Option<String>,
 }
 
 impl RequestContext {
@@ -157,6 +159,9 @@
     },
     /// The request is refused. The caller may retry after the given time.
     Refuse { retry_after: Duration },
+    /// There is room for the request, but this VM ends before its response, or the one that relayed
+    /// it.
+    Leaving,
 }
 
 /// A target at which a request counts as in flight until the reservation is dropped.
--- a/crates/gateway/src/node/selection.rs
+++ b/crates/gateway/src/node/selection.rs
@@ -26,7 +26,11 @@
     pub(crate) fn select_target(self: &Rc<Self>, request: &RequestContext) -> Selection {
         let now = self.now();
         let catalog = self.catalog.borrow();
-        let (eligible, decision) = self.choose_target(request, &catalog, now);
+        let (pending, eligible) = self.eligible_for(request, &catalog, now);
+        let decision = self.decide(&pending, &eligible, now);
+        if self.is_refused_for_end(request, &pending, &eligible, &decision, now) {
+            return Selection::Leaving;
+        }
         let dispatch = match decision {
             Decision::Send(dispatch) => dispatch,
             Decision::Wait { target } => return self.wait(request, target, now),
@@ -70,6 +74,7 @@
         now: Duration,
     ) -> (PendingRequest<'a>, Vec<EligibleTarget<'a>>) {
         let mut pending = request.pending_request(now);
+        pending.time_left = self.time_left(request, now);
         let summary = self.region_summary(request, catalog, now);
         pending.remote_round_trip = summary.remote_round_trip;
         pending.target_counts = Some(summary.counts);
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -91,6 +91,8 @@
     pub(crate) sources_generation: Cell<Option<u64>>,
     /// Whether the other VMs can discover this one.
     is_registered: Cell<bool>,
+    /// By name, when it was first seen that another VM leaves whose relayed requests wait here.
+    pub(super) leaving_vms: RefCell<Map<String, Duration>>,
     /// Holds the time at which this VM began to leave.
     leaving: watch::Sender<Option<Duration>>,
     /// Lines about targets that were added, updated or removed.
@@ -163,6 +165,7 @@
             update_sources: RefCell::default(),
             sources_generation: Cell::default(),
             is_registered: Cell::new(false),
+            leaving_vms: RefCell::default(),
             leaving: watch::Sender::new(None),
             target_lines: RefCell::default(),
             warmup_senders: RefCell::default(),
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -236,6 +236,13 @@
         is_local || status == Some(Status::Alive)
     }
 
+    /// Whether the member is known and has said that it leaves.
+    #[must_use]
+    pub fn is_leaving(&self, name: &str) -> bool {
+        let record = self.others.get(name);
+        record.is_some_and(|record| record.member.status == Status::Leaving)
+    }
+
     /// Returns all members, this VM first.
     #[must_use]
     pub fn members(&self) -> Vec<&Member> {
