LOST: a peer that pauses while it reads keeps its connection

Cause: the kernel counts TCP_USER_TIMEOUT (1.5 s, for peers that are gone) while the window of the peer is closed, though the peer answers each probe; at both ends of all connections.

Change: transport::Watch looks at connections with bytes on their way (TCP_INFO). balance::slow_reader tells a peer that acknowledges from one that is gone; only the former is waited for longer, until the deadline of its request. For any other the 1.5 s stay, so that dead peers are noticed no later. A closed connection is kept until the peer has everything, as the kernel gives it up 1.5 s later otherwise.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -30,6 +30,7 @@
 mod senders;
 pub mod shedding;
 pub mod shutdown;
+pub mod slow_reader;
 mod slow_start;
 mod target_stats;
 pub mod updates;
--- a/crates/gateway/src/frontend/server.rs
+++ b/crates/gateway/src/frontend/server.rs
@@ -2,7 +2,7 @@
 
 use {
     super::HttpResponse,
-    crate::{GatewayError, http_client::set_socket_options, transport::Stream},
+    crate::{GatewayError, transport::Stream},
     hyper::{Request, body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     route::Limits,
@@ -111,11 +111,13 @@
     F: Fn(Request<Incoming>) -> A + Clone + 'static,
     A: Future<Output = HttpResponse> + 'static,
 {
-    if let Err(error) = set_socket_options(&stream) {
-        log::debug!(event = "connection_ended", reason:% = error; "server connection closed: socket options could not be set");
-        return;
-    }
-    let stream = Stream::new(stream);
+    let stream = match Stream::new(stream) {
+        Ok(stream) => stream,
+        Err(error) => {
+            log::debug!(event = "connection_ended", reason:% = error; "server connection closed: socket options could not be set");
+            return;
+        }
+    };
     let unwritten = stream.unwritten();
     let service = service_fn(move |request| {
         let response = handler(request);
--- a/crates/gateway/src/http_client/mod.rs
+++ b/crates/gateway/src/http_client/mod.rs
@@ -10,7 +10,6 @@
 mod send_tracker;
 
 pub use client::Client;
-pub(crate) use connection::set_socket_options;
 pub(crate) use outcome::{NotExecutedReason, Outcome, ResponseFault, TargetResponse};
 pub(crate) use request::{ClientRequest, ClientResponse};
 pub use response_body::{Incomplete, ResponseBody};
--- a/crates/gateway/src/http_client/response_body.rs
+++ b/crates/gateway/src/http_client/response_body.rs
@@ -58,6 +58,8 @@
     content: Content,
     /// Released when the response is written.
     guards: Vec<Guard>,
+    /// When the time of its request is over; `None` for a response of this VM.
+    deadline: Option<Instant>,
     /// Takes the guards over when the HTTP library drops the body, whose bytes it may still hold.
     unwritten: Option<Unwritten>,
 }
@@ -210,13 +212,20 @@
 
     /// Leaves the guards to a connection, until it has written the response.
     pub(crate) fn hold_until_written(&mut self, unwritten: Unwritten) {
+        unwritten.set_deadline(self.deadline);
         self.unwritten = Some(unwritten);
     }
 
+    /// Sets when the time of its request is over.
+    pub(super) fn set_deadline(&mut self, deadline: Instant) {
+        self.deadline = Some(deadline);
+    }
+
     fn new(content: Content) -> Self {
         Self {
             content,
             guards: Vec::new(),
+            deadline: None,
             unwritten: None,
         }
     }
--- a/crates/gateway/src/http_client/send.rs
+++ b/crates/gateway/src/http_client/send.rs
@@ -227,16 +227,15 @@
             let deadline = attempt.deadline;
             let body =
                 ResponseBody::streamed(incoming, connection, check_in, &self.memory, deadline);
-            return match body {
-                Err(_) => Err(Outcome::Indeterminate(ResponseFault::TooLarge)),
-                Ok(body) => Ok(RawResponse {
-                    status: parts.status,
-                    headers: parts.headers,
-                    body,
-                    connection: None,
-                    transmission,
-                }),
-            };
+            let mut body = body.map_err(|_| Outcome::Indeterminate(ResponseFault::TooLarge))?;
+            body.set_deadline(deadline);
+            return Ok(RawResponse {
+                status: parts.status,
+                headers: parts.headers,
+                body,
+                connection: None,
+                transmission,
+            });
         }
         let deadline = read_deadline(&incoming, attempt);
         let buffered = ResponseBody::buffer(incoming, &self.memory);
@@ -246,13 +245,16 @@
             }
             Err(_) => Err(Outcome::TimedOut),
             Ok(Err(fault)) => Err(Outcome::Indeterminate(fault)),
-            Ok(Ok(body)) => Ok(RawResponse {
-                status: parts.status,
-                headers: parts.headers,
-                body,
-                connection: Some(connection),
-                transmission,
-            }),
+            Ok(Ok(mut body)) => {
+                body.set_deadline(attempt.deadline);
+                Ok(RawResponse {
+                    status: parts.status,
+                    headers: parts.headers,
+                    body,
+                    connection: Some(connection),
+                    transmission,
+                })
+            }
         }
     }
 
--- a/crates/gateway/src/transport/stream.rs
+++ b/crates/gateway/src/transport/stream.rs
@@ -1,11 +1,11 @@
-//! A TCP stream that tells when the responses on it are written.
+//! A TCP stream that tells when the responses on it are written, and waits for slow readers.
 
 use {
-    super::Unwritten,
+    super::{Unwritten, socket::set_options, watch::Watch},
     std::{
         io::{self, IoSlice},
         pin::Pin,
-        task::{Context, Poll},
+        task::{Context, Poll, ready},
     },
     tokio::{
         io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -13,18 +13,39 @@
     },
 };
 
-/// A connection of a server. Hyper flushes it whenever its own buffer is empty, so that everything
+/// A connection of a server or a client. Hyper flushes it whenever its own buffer is empty, so that everything
 /// handed over before is written then.
 pub(crate) struct Stream {
     socket: TcpStream,
     unwritten: Unwritten,
+    watch: Watch,
 }
 
 impl Stream {
-    pub(crate) fn new(socket: TcpStream) -> Self {
-        Self {
+    /// Sets the options of a connected socket.
+    ///
+    /// # Errors
+    /// The error of the kernel.
+    pub(crate) fn new(socket: TcpStream) -> io::Result<Self> {
+        set_options(&socket)?;
+        Ok(Self {
             socket,
             unwritten: Unwritten::default(),
+            watch: Watch::default(),
+        })
+    }
+
+    /// Looks after the peer if it is time to.
+    fn watch(&mut self, context: &mut Context<'_>) -> io::Result<()> {
+        let deadline = self.unwritten.deadline();
+        self.watch.poll(&self.socket, deadline, context)
+    }
+
+    fn record_write(&mut self, written: &Poll<io::Result<usize>>, context: &mut Context<'_>) {
+        match written {
+            Poll::Ready(Ok(bytes)) => self.watch.record_write(Some(*bytes), context),
+            Poll::Ready(Err(_)) => {}
+            Poll::Pending => self.watch.record_write(None, context),
         }
     }
 
@@ -40,6 +61,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.watch(context)?;
         Pin::new(&mut self.socket).poll_read(context, buffer)
     }
 }
@@ -50,7 +72,10 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write(context, bytes)
+        self.watch(context)?;
+        let written = Pin::new(&mut self.socket).poll_write(context, bytes);
+        self.record_write(&written, context);
+        written
     }
 
     fn poll_write_vectored(
@@ -58,7 +83,10 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write_vectored(context, slices)
+        self.watch(context)?;
+        let written = Pin::new(&mut self.socket).poll_write_vectored(context, slices);
+        self.record_write(&written, context);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -73,7 +101,17 @@
         flushed
     }
 
+    /// Waits until the peer has everything, as the kernel would soon give up a closed connection whose
+    /// peer pauses.
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_shutdown(context)
+        ready!(Pin::new(&mut self.socket).poll_shutdown(context))?;
+        self.watch(context)?;
+        let Self { socket, watch, .. } = &mut *self;
+        if !watch.is_pending() {
+            return Poll::Ready(Ok(()));
+        }
+        // The process may end meanwhile.
+        watch.tolerate(socket, true)?;
+        Poll::Pending
     }
 }
