Long responses are read ahead of slow callers, so that their targets are done

Change: where the receiver of a streamed body is slower than the sender, the rest is read ahead, as long as half of the memory of bodies is free. The connection goes back once the whole body has arrived. The streamed body has a module of its own.

--- a/crates/gateway/src/http_client/mod.rs
+++ b/crates/gateway/src/http_client/mod.rs
@@ -8,11 +8,12 @@
 mod response_body;
 mod send;
 mod send_tracker;
+mod streamed;
 
 pub use client::Client;
 pub(crate) use outcome::{NotExecutedReason, Outcome, ResponseFault, TargetResponse};
 pub(crate) use request::{ClientRequest, ClientResponse};
 pub use response_body::{Incomplete, ResponseBody};
-pub(crate) use response_body::{StreamEnd, has_memory_for_stream};
 pub(crate) use send::{Attempt, Reuse, TARGET_CONNECT_TIMEOUT, TargetRequest};
 pub(crate) use send_tracker::{Receiver, SendTracker};
+pub(crate) use streamed::{StreamEnd, has_memory_for_stream};
--- a/crates/gateway/src/http_client/response_body.rs
+++ b/crates/gateway/src/http_client/response_body.rs
@@ -1,7 +1,12 @@
 //! Body of a response: whole in memory, or passed on while it arrives.
 
 use {
-    super::{ResponseFault, client::CheckIn, connection::Connection},
+    super::{
+        ResponseFault,
+        client::CheckIn,
+        connection::Connection,
+        streamed::{StreamEnd, Streamed},
+    },
     crate::{
         memory::{MemoryBudget, MemoryReservation, OutOfMemory},
         transport::{Guard, Unwritten},
@@ -10,47 +15,17 @@
     http_body_util::BodyExt,
     hyper::body::{Body, Frame, Incoming, SizeHint},
     std::{
-        cell::RefCell,
         pin::Pin,
         rc::Rc,
-        task::{Context, Poll, Waker},
+        task::{Context, Poll},
     },
-    tokio::{task::AbortHandle, time::Instant},
+    tokio::time::Instant,
 };
 
 /// Largest response body that is buffered. One without a length may have no end.
 const MAX_BUFFERED_BYTES: usize = 32 * 1024 * 1024;
 /// A buffered body may take the memory of all bodies divided by this number.
 const BODY_MEMORY_DIVISOR: usize = 8;
-/// A longer body of known length is passed on while it arrives.
-const MIN_STREAMED_BYTES: u64 = 16 * 1024;
-/// Memory counted for a streamed body: the buffers of its two connections.
-const STREAM_BUFFER_BYTES: usize = 128 * 1024;
-
-/// How a streamed body ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum StreamEnd {
-    /// All of it was passed on.
-    Complete,
-    /// Its connection ended early.
-    Truncated,
-    /// The deadline of the request passed.
-    TimedOut,
-    /// The receiver left.
-    Cancelled,
-}
-
-impl StreamEnd {
-    /// Returns the text for logs and metrics.
-    pub(crate) fn as_str(self) -> &'static str {
-        match self {
-            Self::Complete => "complete",
-            Self::Truncated => "cut",
-            Self::TimedOut => "timed-out",
-            Self::Cancelled => "cancelled",
-        }
-    }
-}
 
 /// Body of a response. It is complete only if it ends without an error.
 #[derive(Debug)]
@@ -75,59 +50,6 @@
 #[error("response body ended early")]
 pub struct Incomplete;
 
-/// A body that is passed on while it arrives.
-#[derive(Debug)]
-struct Streamed {
-    remaining_bytes: u64,
-    /// `None` once the body has ended.
-    source: Rc<RefCell<Option<Source>>>,
-    /// Ends the body at the deadline even if its receiver has stopped reading.
-    watchdog: AbortHandle,
-}
-
-/// Where a streamed body comes from, and what is held until it ends.
-struct Source {
-    incoming: Incoming,
-    connection: Connection,
-    check_in: CheckIn,
-    /// Wakes the receiver if it waits for more of the body.
-    receiver: Option<Waker>,
-    on_end: Vec<Box<dyn FnOnce(StreamEnd)>>,
-    _reservation: MemoryReservation,
-}
-
-impl std::fmt::Debug for Source {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Source").finish_non_exhaustive()
-    }
-}
-
-impl Source {
-    fn end(mut self, end: StreamEnd) {
-        for on_end in self.on_end.drain(..) {
-            on_end(end);
-        }
-        if let Some(receiver) = self.receiver.take() {
-            receiver.wake();
-        }
-        if end == StreamEnd::Complete {
-            self.check_in.check_in_when_ready(self.connection);
-        }
-    }
-}
-
-/// Returns whether the buffers of one more streamed body fit the memory that is left.
-pub(crate) fn has_memory_for_stream(memory: &Rc<MemoryBudget>) -> bool {
-    memory.reserve(STREAM_BUFFER_BYTES).is_ok()
-}
-
-/// Returns whether a body is passed on while it arrives instead of being buffered.
-pub(super) fn is_streamed(body: &Incoming) -> bool {
-    body.size_hint()
-        .exact()
-        .is_some_and(|bytes| bytes > MIN_STREAMED_BYTES)
-}
-
 impl ResponseBody {
     /// Creates a streamed body that holds its connection and ends at `deadline`.
     ///
@@ -140,26 +62,8 @@
         memory: &Rc<MemoryBudget>,
         deadline: Instant,
     ) -> Result<Self, OutOfMemory> {
-        let remaining_bytes = incoming.size_hint().lower();
-        let reservation = memory.reserve(STREAM_BUFFER_BYTES)?;
-        let source = Rc::new(RefCell::new(Some(Source {
-            incoming,
-            connection,
-            check_in,
-            receiver: None,
-            on_end: Vec::new(),
-            _reservation: reservation,
-        })));
-        let watched = source.clone();
-        let watchdog = tokio::task::spawn_local(async move {
-            tokio::time::sleep_until(deadline).await;
-            end_source(&watched, StreamEnd::TimedOut);
-        });
-        Ok(Self::new(Content::Streamed(Streamed {
-            remaining_bytes,
-            source,
-            watchdog: watchdog.abort_handle(),
-        })))
+        let streamed = Streamed::new(incoming, connection, check_in, memory, deadline)?;
+        Ok(Self::new(Content::Streamed(streamed)))
     }
 
     /// Reads a whole body into memory.
@@ -198,10 +102,8 @@
     /// Adds a function that is called when a streamed body ends. For any other body, and for one
     /// that has ended, it is dropped.
     pub(crate) fn on_end(&mut self, on_end: impl FnOnce(StreamEnd) + 'static) {
-        if let Content::Streamed(streamed) = &self.content
-            && let Some(source) = streamed.source.borrow_mut().as_mut()
-        {
-            source.on_end.push(Box::new(on_end));
+        if let Content::Streamed(streamed) = &self.content {
+            streamed.on_end(Box::new(on_end));
         }
     }
 
@@ -261,53 +163,6 @@
     }
 }
 
-/// Ends a source unless it has already ended.
-fn end_source(source: &RefCell<Option<Source>>, end: StreamEnd) {
-    let ended = source.borrow_mut().take();
-    if let Some(source) = ended {
-        source.end(end);
-    }
-}
-
-impl Streamed {
-    fn poll_frame(
-        &mut self,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Incomplete>>> {
-        if self.remaining_bytes == 0 {
-            return Poll::Ready(None);
-        }
-        let mut source = self.source.borrow_mut();
-        let Some(open) = source.as_mut() else {
-            return Poll::Ready(Some(Err(Incomplete)));
-        };
-        let Poll::Ready(frame) = Pin::new(&mut open.incoming).poll_frame(context) else {
-            open.receiver = Some(context.waker().clone());
-            return Poll::Pending;
-        };
-        drop(source);
-        let Some(Ok(frame)) = frame else {
-            end_source(&self.source, StreamEnd::Truncated);
-            return Poll::Ready(Some(Err(Incomplete)));
-        };
-        let bytes = frame.data_ref().map_or(0, Bytes::len);
-        self.remaining_bytes = self
-            .remaining_bytes
-            .saturating_sub(u64::try_from(bytes).unwrap_or(u64::MAX));
-        if self.remaining_bytes == 0 {
-            end_source(&self.source, StreamEnd::Complete);
-        }
-        Poll::Ready(Some(Ok(frame)))
-    }
-}
-
-impl Drop for Streamed {
-    fn drop(&mut self) {
-        self.watchdog.abort();
-        end_source(&self.source, StreamEnd::Cancelled);
-    }
-}
-
 impl Body for ResponseBody {
     type Data = Bytes;
     type Error = Incomplete;
@@ -326,7 +181,7 @@
     fn is_end_stream(&self) -> bool {
         match &self.content {
             Content::Whole(bytes) => bytes.is_empty(),
-            Content::Streamed(streamed) => streamed.remaining_bytes == 0,
+            Content::Streamed(streamed) => streamed.remaining_bytes() == 0,
         }
     }
 
@@ -335,7 +190,7 @@
             Content::Whole(bytes) => {
                 SizeHint::with_exact(u64::try_from(bytes.len()).unwrap_or(u64::MAX))
             }
-            Content::Streamed(streamed) => SizeHint::with_exact(streamed.remaining_bytes),
+            Content::Streamed(streamed) => SizeHint::with_exact(streamed.remaining_bytes()),
         }
     }
 }
--- /dev/null
+++ b/crates/gateway/src/http_client/streamed.rs
@@ -0,0 +1,287 @@
+//! A body that is passed on while it arrives.
+
+use {
+    super::{client::CheckIn, connection::Connection, response_body::Incomplete},
+    crate::memory::{MemoryBudget, MemoryReservation, OutOfMemory},
+    bytes::Bytes,
+    hyper::body::{Body, Frame, Incoming},
+    std::{
+        cell::RefCell,
+        collections::VecDeque,
+        fmt,
+        pin::Pin,
+        rc::Rc,
+        task::{Context, Poll, Waker},
+        time::Duration,
+    },
+    tokio::{task::AbortHandle, time::Instant},
+};
+
+/// A longer body of known length is passed on while it arrives.
+const MIN_STREAMED_BYTES: u64 = 16 * 1024;
+/// Memory counted for a streamed body: the buffers of its two connections.
+const STREAM_BUFFER_BYTES: usize = 128 * 1024;
+/// Interval at which it is checked whether the receiver is slower than the sender.
+const READ_AHEAD_INTERVAL: Duration = Duration::from_millis(250);
+/// Bodies that are read ahead of slow receivers leave free this part of the memory of all bodies.
+const READ_AHEAD_DIVISOR: usize = 2;
+
+/// How a streamed body ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum StreamEnd {
+    /// All of it was passed on.
+    Complete,
+    /// Its connection ended early.
+    Truncated,
+    /// The deadline of the request passed.
+    TimedOut,
+    /// The receiver left.
+    Cancelled,
+}
+
+impl StreamEnd {
+    /// Returns the text for logs and metrics.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::Truncated => "cut",
+            Self::TimedOut => "timed-out",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
+
+/// A function that is called when a body ends.
+pub(super) type OnEnd = Box<dyn FnOnce(StreamEnd)>;
+
+/// A body that is passed on while it arrives.
+#[derive(Debug)]
+pub(super) struct Streamed {
+    remaining_bytes: u64,
+    source: Shared,
+    /// Ends the body at the deadline even if its receiver has stopped reading, and reads ahead of a
+    /// slow receiver.
+    attendant: AbortHandle,
+}
+
+/// `None` once the body has ended.
+type Shared = Rc<RefCell<Option<Source>>>;
+
+/// Where a streamed body comes from, and what is held until it ends.
+struct Source {
+    incoming: Incoming,
+    /// Bytes that have not arrived yet.
+    missing_bytes: u64,
+    /// The connection, until all bytes have arrived.
+    link: Option<(Connection, CheckIn)>,
+    /// What was read ahead of the receiver.
+    ahead: VecDeque<Bytes>,
+    ahead_memory: MemoryReservation,
+    /// Wakes the receiver if it waits for more of the body.
+    receiver: Option<Waker>,
+    on_end: Vec<OnEnd>,
+    _buffer_memory: MemoryReservation,
+}
+
+impl fmt::Debug for Source {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Source").finish_non_exhaustive()
+    }
+}
+
+/// Returns whether the buffers of one more streamed body fit the memory that is left.
+pub(crate) fn has_memory_for_stream(memory: &Rc<MemoryBudget>) -> bool {
+    memory.reserve(STREAM_BUFFER_BYTES).is_ok()
+}
+
+/// Returns whether a body is passed on while it arrives instead of being buffered.
+pub(super) fn is_streamed(body: &Incoming) -> bool {
+    body.size_hint()
+        .exact()
+        .is_some_and(|bytes| bytes > MIN_STREAMED_BYTES)
+}
+
+impl Source {
+    /// Polls the connection for the next part of the body.
+    fn poll_incoming(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, hyper::Error>>> {
+        loop {
+            let Poll::Ready(frame) = Pin::new(&mut self.incoming).poll_frame(context) else {
+                return Poll::Pending;
+            };
+            match frame {
+                None => return Poll::Ready(None),
+                Some(Err(error)) => return Poll::Ready(Some(Err(error))),
+                Some(Ok(frame)) => {
+                    if let Ok(bytes) = frame.into_data() {
+                        self.record_arrival(bytes.len());
+                        return Poll::Ready(Some(Ok(bytes)));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Gives the connection back once the whole body has arrived, so that its slot at the target is
+    /// free however slowly the receiver reads.
+    fn record_arrival(&mut self, bytes: usize) {
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.missing_bytes = self.missing_bytes.saturating_sub(bytes);
+        if self.missing_bytes == 0
+            && let Some((connection, check_in)) = self.link.take()
+        {
+            check_in.check_in_when_ready(connection);
+        }
+    }
+
+    /// Removes the next part from what was read ahead.
+    fn take_ahead(&mut self) -> Option<Bytes> {
+        let bytes = self.ahead.pop_front()?;
+        self.ahead_memory.shrink(bytes.len());
+        Some(bytes)
+    }
+
+    /// Reads as much as is there and fits the memory for slow receivers, unless the receiver waits for the
+    /// body itself. Completes if there is nothing more to do.
+    fn poll_ahead(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        while self.receiver.is_none()
+            && self.link.is_some()
+            && self.ahead_memory.leaves_free(READ_AHEAD_DIVISOR)
+        {
+            match self.poll_incoming(context) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(Some(Ok(bytes))) => {
+                    // A failure ends the reading, and what was read must not be lost.
+                    let _ = self.ahead_memory.grow(bytes.len());
+                    self.ahead.push_back(bytes);
+                }
+                // The receiver is told when it comes that far.
+                Poll::Ready(_) => break,
+            }
+        }
+        Poll::Ready(())
+    }
+
+    fn end(mut self, end: StreamEnd) {
+        for on_end in self.on_end.drain(..) {
+            on_end(end);
+        }
+        if let Some(receiver) = self.receiver.take() {
+            receiver.wake();
+        }
+    }
+}
+
+/// Ends a source unless it has already ended.
+fn end_source(source: &Shared, end: StreamEnd) {
+    let ended = source.borrow_mut().take();
+    if let Some(source) = ended {
+        source.end(end);
+    }
+}
+
+/// Reads ahead of a slow receiver, and ends the body at the deadline.
+async fn attend(source: Shared, deadline: Instant) {
+    loop {
+        tokio::time::sleep_until(deadline.min(Instant::now() + READ_AHEAD_INTERVAL)).await;
+        if Instant::now() >= deadline {
+            end_source(&source, StreamEnd::TimedOut);
+            return;
+        }
+        let read_ahead = std::future::poll_fn(|context| {
+            let mut source = source.borrow_mut();
+            let open = source.as_mut();
+            open.map_or(Poll::Ready(()), |open| open.poll_ahead(context))
+        });
+        // Begun anew now and then, as the receiver may have taken the wake-up over.
+        let _ = tokio::time::timeout(READ_AHEAD_INTERVAL, read_ahead).await;
+    }
+}
+
+impl Streamed {
+    /// Creates a body that holds its connection until it has arrived, and ends at `deadline`.
+    ///
+    /// # Errors
+    /// [`OutOfMemory`] if its buffers do not fit the memory that is left.
+    pub(super) fn new(
+        incoming: Incoming,
+        connection: Connection,
+        check_in: CheckIn,
+        memory: &Rc<MemoryBudget>,
+        deadline: Instant,
+    ) -> Result<Self, OutOfMemory> {
+        let remaining_bytes = incoming.size_hint().lower();
+        let source = Rc::new(RefCell::new(Some(Source {
+            incoming,
+            missing_bytes: remaining_bytes,
+            link: Some((connection, check_in)),
+            ahead: VecDeque::new(),
+            ahead_memory: memory.empty_reservation(),
+            receiver: None,
+            on_end: Vec::new(),
+            _buffer_memory: memory.reserve(STREAM_BUFFER_BYTES)?,
+        })));
+        let attendant = tokio::task::spawn_local(attend(source.clone(), deadline));
+        Ok(Self {
+            remaining_bytes,
+            source,
+            attendant: attendant.abort_handle(),
+        })
+    }
+
+    /// Returns how much the receiver has not taken yet.
+    pub(super) fn remaining_bytes(&self) -> u64 {
+        self.remaining_bytes
+    }
+
+    /// Adds a function that is called when the body ends, unless it has ended.
+    pub(super) fn on_end(&self, on_end: OnEnd) {
+        if let Some(source) = self.source.borrow_mut().as_mut() {
+            source.on_end.push(on_end);
+        }
+    }
+
+    pub(super) fn poll_frame(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Incomplete>>> {
+        if self.remaining_bytes == 0 {
+            return Poll::Ready(None);
+        }
+        let mut source = self.source.borrow_mut();
+        let Some(open) = source.as_mut() else {
+            return Poll::Ready(Some(Err(Incomplete)));
+        };
+        open.receiver = None;
+        let bytes = match open.take_ahead() {
+            Some(bytes) => Some(Ok(bytes)),
+            None => match open.poll_incoming(context) {
+                Poll::Ready(bytes) => bytes,
+                Poll::Pending => {
+                    open.receiver = Some(context.waker().clone());
+                    return Poll::Pending;
+                }
+            },
+        };
+        drop(source);
+        let Some(Ok(bytes)) = bytes else {
+            end_source(&self.source, StreamEnd::Truncated);
+            return Poll::Ready(Some(Err(Incomplete)));
+        };
+        let taken_bytes = u64::try_from(bytes.len()).unwrap_or(u64::MAX);
+        self.remaining_bytes = self.remaining_bytes.saturating_sub(taken_bytes);
+        if self.remaining_bytes == 0 {
+            end_source(&self.source, StreamEnd::Complete);
+        }
+        Poll::Ready(Some(Ok(Frame::data(bytes))))
+    }
+}
+
+impl Drop for Streamed {
+    fn drop(&mut self) {
+        self.attendant.abort();
+        end_source(&self.source, StreamEnd::Cancelled);
+    }
+}
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -31,6 +31,11 @@
         self.limit_bytes
     }
 
+    fn release(&self, bytes: usize) {
+        let used_bytes = self.used_bytes.get();
+        self.used_bytes.set(used_bytes.saturating_sub(bytes));
+    }
+
     /// Returns a reservation of no memory, which can grow.
     pub(crate) fn empty_reservation(self: &Rc<Self>) -> MemoryReservation {
         MemoryReservation {
@@ -71,13 +76,24 @@
         self.bytes += bytes;
         Ok(())
     }
+
+    /// Gives back a part of the memory.
+    pub(crate) fn shrink(&mut self, bytes: usize) {
+        let bytes = bytes.min(self.bytes);
+        self.bytes -= bytes;
+        self.budget.release(bytes);
+    }
+
+    /// Returns whether at least the memory of all bodies divided by `divisor` is free.
+    pub(crate) fn leaves_free(&self, divisor: usize) -> bool {
+        let budget = &self.budget;
+        let free_bytes = budget.limit_bytes.saturating_sub(budget.used_bytes.get());
+        free_bytes >= budget.limit_bytes / divisor
+    }
 }
 
 impl Drop for MemoryReservation {
     fn drop(&mut self) {
-        let used_bytes = self.budget.used_bytes.get();
-        self.budget
-            .used_bytes
-            .set(used_bytes.saturating_sub(self.bytes));
+        self.budget.release(self.bytes);
     }
 }
