--- a/crates/gateway/src/frontend/departure.rs
+++ b/crates/gateway/src/frontend/departure.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
+        in_flight,
         response::{HttpResponse, text_response},
-        serve::InFlightGuard,
     },
     crate::{
         Node,
@@ -61,7 +61,7 @@
 /// in a task of its own, which is not cancelled while it is at a target.
 pub(super) async fn run_request(
     mut attendance: Attendance,
-    in_flight: Rc<InFlightGuard>,
+    in_flight: Rc<in_flight::Guard>,
     future: impl Future<Output = HttpResponse> + 'static,
 ) -> HttpResponse {
     let future = async move {
--- a/crates/gateway/src/frontend/mod.rs
+++ b/crates/gateway/src/frontend/mod.rs
@@ -6,6 +6,7 @@
 mod head;
 mod hedge;
 mod identity;
+mod in_flight;
 mod progress;
 mod quota;
 mod relayed;
--- a/crates/gateway/src/frontend/relayed.rs
+++ b/crates/gateway/src/frontend/relayed.rs
@@ -7,9 +7,10 @@
         departure::{Attendance, run_request},
         head::RequestHead,
         identity::identify_relayed,
+        in_flight,
         response::{HttpResponse, text_response},
         retry::{Denial, into_caller_response, wait_for_target},
-        serve::{InFlightGuard, before_end, build_target_request, compute_fingerprint},
+        serve::{before_end, build_target_request, compute_fingerprint},
     },
     crate::{
         Node,
@@ -48,17 +49,14 @@
     node: Rc<Node>,
     request: Request<Incoming>,
 ) -> HttpResponse {
-    let in_flight = Rc::new(InFlightGuard::new(&node));
-    let mut response = respond(node, request, in_flight.clone()).await;
-    response.body_mut().hold(in_flight);
-    response
+    in_flight::track(node, |node, guard| respond(node, request, guard)).await
 }
 
 /// Queues a relayed request, sends it to its target and returns the response.
 async fn respond(
     node: Rc<Node>,
     request: Request<Incoming>,
-    in_flight: Rc<InFlightGuard>,
+    in_flight: Rc<in_flight::Guard>,
 ) -> HttpResponse {
     let (mut parts, body) = request.into_parts();
     let target = parts.headers.get(TARGET_HEADER).cloned();
--- a/crates/gateway/src/frontend/serve.rs
+++ b/crates/gateway/src/frontend/serve.rs
@@ -6,6 +6,7 @@
         departure::{Attendance, run_request},
         head::{HeadError, RequestHead, remove_hop_by_hop_headers},
         identity::{identify_caller, set_customer},
+        in_flight,
         progress::LEAVING_RETRY_AFTER,
         quota,
         response::{HttpResponse, text_response, unavailable_response},
@@ -32,37 +33,18 @@
 const UNUSABLE_ROUTE_RETRY_AFTER: Duration = Duration::from_secs(5);
 const OUT_OF_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Counts a request as in flight until it is dropped.
-pub(super) struct InFlightGuard(Rc<Node>);
-
-impl InFlightGuard {
-    pub(super) fn new(node: &Rc<Node>) -> Self {
-        node.in_flight.set(node.in_flight.get() + 1);
-        Self(node.clone())
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
-    }
-}
-
 /// Serves one request of a caller. It counts as in flight until its response is written.
 pub(crate) async fn serve_caller_request(
     node: Rc<Node>,
     request: Request<Incoming>,
 ) -> HttpResponse {
-    let in_flight = Rc::new(InFlightGuard::new(&node));
-    let mut response = respond(node, request, in_flight.clone()).await;
-    response.body_mut().hold(in_flight);
-    response
+    in_flight::track(node, |node, guard| respond(node, request, guard)).await
 }
 
 async fn respond(
     node: Rc<Node>,
     request: Request<Incoming>,
-    in_flight: Rc<InFlightGuard>,
+    in_flight: Rc<in_flight::Guard>,
 ) -> HttpResponse {
     let arrived_at = node.now();
     let (parts, body) = request.into_parts();
