LOST: a VM that leaves already states with each relay when it ends

Cause: the owner of a queue took the first request that it saw waiting from a leaving VM for the moment at which that VM began to leave, so that one relayed 2.4 s after the SIGTERM could wait 2.4 s too long.

Change: relays of a VM that leaves state the time until it ends (cicadalift-ends-ms); the membership is used for those relayed before. Bounds are copied only by a VM that leaves, not for each decision.

--- a/crates/gateway/src/frontend/attempt.rs
+++ b/crates/gateway/src/frontend/attempt.rs
@@ -138,6 +138,7 @@
     let waited = node.now().saturating_sub(context.arrived_at) + context.prior_wait;
     let relay_context = RelayContext {
         relayed_by: &node.settings.name,
+        ends_in: node.ends_at().map(|at| at.saturating_sub(node.now())),
         customer: context.customer_name(),
         is_first_choice: reservation.dispatch.affinity != Affinity::Unknown,
         is_copy: reservation.is_copy,
--- a/crates/gateway/src/frontend/relayed.rs
+++ b/crates/gateway/src/frontend/relayed.rs
@@ -18,8 +18,8 @@
             Outcome, SendTracker, TargetRequest,
             relay::{
                 COPY_HEADER, CUSTOMER_HEADER, CUT_OFF_HEADER, DIVERTED_HEADER, Diversion,
-                ELSEWHERE, ELSEWHERE_HEADER, FIRST_CHOICE_HEADER, FULL, LEAVING_HEADER,
-                LIMIT_AGE_MS_HEADER, MAY_LOAD_HEADER, NOT_SERVED, OUTCOME_HEADER,
+                ELSEWHERE, ELSEWHERE_HEADER, ENDS_IN_MS_HEADER, FIRST_CHOICE_HEADER, FULL,
+                LEAVING_HEADER, LIMIT_AGE_MS_HEADER, MAY_LOAD_HEADER, NOT_SERVED, OUTCOME_HEADER,
                 RELAYED_BY_HEADER, RETRY_AFTER_MS_HEADER, RUNNING_TIME_MS_HEADER,
                 STARTED_AT_MS_HEADER, TARGET_HEADER, WAITED_MS_HEADER,
             },
@@ -132,8 +132,8 @@
     let diversion = parse_diversion(&mut parts.headers);
     let relayed_by = parts.headers.remove(RELAYED_BY_HEADER);
     let relayed_by = relayed_by.and_then(|name| name.to_str().ok().map(str::to_owned));
-    let waited_ms = parts.headers.remove(WAITED_MS_HEADER);
-    let waited_ms = waited_ms.and_then(|value| value.to_str().ok()?.parse().ok());
+    let waited_ms = remove_number(&mut parts.headers, &WAITED_MS_HEADER);
+    let ends_in_ms = remove_number(&mut parts.headers, &ENDS_IN_MS_HEADER);
     let customer_name = parts.headers.remove(CUSTOMER_HEADER);
     let customer_name = customer_name.as_ref().and_then(|name| name.to_str().ok());
     let head = RequestHead::parse(&node.header_names, parts).ok()?;
@@ -171,6 +171,7 @@
             is_copy,
             diversion,
             relayed_by,
+            relayer_ends_at: ends_in_ms.map(|ms| arrived_at + Duration::from_millis(ms)),
         }),
     };
     context.enter_shares(node);
@@ -181,15 +182,18 @@
     })
 }
 
+fn remove_number(headers: &mut HeaderMap, name: &HeaderName) -> Option<u64> {
+    headers.remove(name)?.to_str().ok()?.parse().ok()
+}
+
 /// Removes what the relaying VM states of other targets.
 fn parse_diversion(headers: &mut HeaderMap) -> Diversion {
-    let way_ms = headers.remove(ELSEWHERE_HEADER);
+    let way_ms = remove_number(headers, &ELSEWHERE_HEADER);
     let diverted = headers.remove(DIVERTED_HEADER);
     if let Some(may_load) = diverted {
         let may_load = may_load == "1";
         return Diversion::Diverted { may_load };
     }
-    let way_ms = way_ms.and_then(|value| value.to_str().ok()?.parse().ok());
     way_ms.map_or(Diversion::None, |way_ms| Diversion::Possible {
         way: Duration::from_millis(way_ms),
     })
--- a/crates/gateway/src/http_client/relay.rs
+++ b/crates/gateway/src/http_client/relay.rs
@@ -37,6 +37,8 @@
 /// Request header: name of the VM that relays the request, so that the request does not wait for
 /// longer than that VM lives.
 pub(crate) const RELAYED_BY_HEADER: HeaderName = HeaderName::from_static("cicadalift-from");
+/// Request header: milliseconds until the VM that relays the request ends; missing unless it leaves.
+pub(crate) const ENDS_IN_MS_HEADER: HeaderName = HeaderName::from_static("cicadalift-ends-ms");
 /// Response header: outcome of the exchange with the target.
 pub(crate) const OUTCOME_HEADER: HeaderName = HeaderName::from_static("cicadalift-outcome");
 /// Response header: milliseconds until the target is expected to have room.
@@ -75,6 +77,8 @@
 pub(crate) struct RelayContext<'a> {
     /// Name of this VM.
     pub(crate) relayed_by: &'a str,
+    /// Time until this VM ends, if it leaves.
+    pub(crate) ends_in: Option<Duration>,
     /// Name of the customer; empty without one.
     pub(crate) customer: &'a str,
     /// Whether the target is expected to have the request's object cached.
@@ -181,6 +185,10 @@
         if let Ok(name) = HeaderValue::from_str(context.relayed_by) {
             headers.insert(RELAYED_BY_HEADER, name);
         }
+        headers.remove(ENDS_IN_MS_HEADER);
+        if let Some(ends_in) = context.ends_in {
+            headers.insert(ENDS_IN_MS_HEADER, HeaderValue::from(to_millis(ends_in)));
+        }
         if !context.customer.is_empty()
             && let Ok(name) = HeaderValue::from_str(context.customer)
         {
--- a/crates/gateway/src/node/request.rs
+++ b/crates/gateway/src/node/request.rs
@@ -69,6 +69,8 @@
     pub(crate) diversion: Diversion,
     /// Name of the VM that relayed the request; `None` if it is of a build that does not say.
     pub(crate) relayed_by: Option<String>,
+    /// When that VM ends, if it was leaving already.
+    pub(crate) relayer_ends_at: Option<Duration>,
 }
 
 impl RequestContext {
--- a/crates/gateway/src/node/shutdown.rs
+++ b/crates/gateway/src/node/shutdown.rs
@@ -19,8 +19,8 @@
 impl Node {
     /// Returns the time at which the process ends, or `None` if this VM is not leaving.
     pub(crate) fn ends_at(&self) -> Option<Duration> {
-        let served = self.bounds().grace.saturating_sub(GRACE_MARGIN);
-        self.leaving_since().map(|since| since + served)
+        let since = self.leaving_since()?;
+        Some(since + self.bounds().grace.saturating_sub(GRACE_MARGIN))
     }
 
     /// Completes when this VM leaves and has no more time for requests that were not sent to a target.
@@ -37,9 +37,11 @@
     /// Returns the time by which a request has to be answered because this VM ends, or the VM that
     /// relayed it. `None` if neither leaves.
     pub(super) fn respond_by(&self, request: &RequestContext) -> Option<Duration> {
-        let relayer = request.assignment.as_ref();
-        let relayer = relayer.and_then(|assignment| assignment.relayed_by.as_deref());
-        let relayer_ends_at = relayer.and_then(|name| self.relayer_ends_at(name));
+        let relayer_ends_at = request.assignment.as_ref().and_then(|assignment| {
+            let name = assignment.relayed_by.as_deref()?;
+            let stated = assignment.relayer_ends_at;
+            stated.or_else(|| self.relayer_ends_at(name))
+        });
         let ends_at = [self.ends_at(), relayer_ends_at]
             .into_iter()
             .flatten()
@@ -47,7 +49,8 @@
         ends_at.map(|ends_at| ends_at.saturating_sub(WRITE_TIME))
     }
 
-    /// Returns the time at which another VM ends at the earliest, if it is known to leave.
+    /// Returns the time at which another VM ends at the earliest, if it has begun to leave since it
+    /// relayed a request that waits here.
     fn relayer_ends_at(&self, name: &str) -> Option<Duration> {
         let (is_leaving, is_alive) = {
             let view = self.member_view();
@@ -60,11 +63,9 @@
         } else if is_leaving && !seen.contains_key(name) {
             seen.insert(name.to_owned(), self.now());
         }
-        let served = self
-            .bounds()
-            .grace
-            .saturating_sub(GRACE_MARGIN + NOTICE_TIME);
-        seen.get(name).map(|since| *since + served)
+        let since = *seen.get(name)?;
+        let margin = GRACE_MARGIN + NOTICE_TIME;
+        Some(since + self.bounds().grace.saturating_sub(margin))
     }
 
     /// Returns the time that is left for a request, until its deadline or the end of a VM that owes its
