--- a/crates/gateway/src/frontend/departure.rs
+++ b/crates/gateway/src/frontend/departure.rs
@@ -15,7 +15,7 @@
 };
 
 /// A request in progress. If it is dropped before its response, its caller has left.
-pub(super) struct Attendance {
+pub(super) struct Guard {
     node: Rc<Node>,
     tracker: SendTracker,
     id: String,
@@ -26,7 +26,7 @@
     is_answered: bool,
 }
 
-impl Attendance {
+impl Guard {
     pub(super) fn new(node: &Rc<Node>, context: &RequestContext) -> Self {
         Self {
             node: node.clone(),
@@ -40,7 +40,7 @@
     }
 }
 
-impl Drop for Attendance {
+impl Drop for Guard {
     fn drop(&mut self) {
         if self.is_answered {
             return;
@@ -60,7 +60,7 @@
 /// Hyper drops the future of a request whose caller disconnects. A request that may run once only runs
 /// in a task of its own, which is not cancelled while it is at a target.
 pub(super) async fn run_request(
-    mut attendance: Attendance,
+    mut guard: Guard,
     in_flight: Rc<in_flight::Guard>,
     future: impl Future<Output = HttpResponse> + 'static,
 ) -> HttpResponse {
@@ -69,12 +69,12 @@
         drop(in_flight);
         response
     };
-    let response = if attendance.is_idempotent {
+    let response = if guard.is_idempotent {
         future.await
     } else {
-        run_once(attendance.tracker.clone(), future).await
+        run_once(guard.tracker.clone(), future).await
     };
-    attendance.is_answered = true;
+    guard.is_answered = true;
     response
 }
 
--- a/crates/gateway/src/frontend/relayed.rs
+++ b/crates/gateway/src/frontend/relayed.rs
@@ -4,7 +4,7 @@
     super::{
         attempt::send_directly,
         body,
-        departure::{Attendance, run_request},
+        departure::{self, run_request},
         head::RequestHead,
         identity::identify_relayed,
         in_flight,
@@ -95,14 +95,14 @@
     node.record_arrival(&context);
     let fingerprint = compute_fingerprint(&context, &parts, &body);
     let target_request = build_target_request(&node, &head, &identity, parts, &body);
-    let attendance = Attendance::new(&node, &context);
+    let guard = departure::Guard::new(&node, &context);
     // Boxed, as the future is large and is moved.
     let run = Box::pin(async move {
         let response = send_to_target(&node, &context, &target_request, &fingerprint).await;
         drop(body);
         response
     });
-    run_request(attendance, in_flight, run).await
+    run_request(guard, in_flight, run).await
 }
 
 fn not_served_response(reason: &'static str) -> HttpResponse {
--- a/crates/gateway/src/frontend/serve.rs
+++ b/crates/gateway/src/frontend/serve.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         body::{self, BodyError, BufferedBody},
-        departure::{Attendance, run_request},
+        departure::{self, run_request},
         head::{HeadError, RequestHead, remove_hop_by_hop_headers},
         identity::{identify_caller, set_customer},
         in_flight,
@@ -110,7 +110,7 @@
     node.record_arrival(&context);
     let fingerprint = compute_fingerprint(&context, &parts, &body);
     let target_request = build_target_request(&node, &head, &identity, parts, &body);
-    let attendance = Attendance::new(&node, &context);
+    let guard = departure::Guard::new(&node, &context);
     // Boxed, as the future is large and is moved.
     let run = Box::pin(async move {
         let response =
@@ -118,7 +118,7 @@
         drop(body);
         response
     });
-    run_request(attendance, in_flight, run).await
+    run_request(guard, in_flight, run).await
 }
 
 /// Awaits a step before a request is sent. Returns `None` if this VM has to end before that.
--- a/crates/gateway/src/http_client/streamed.rs
+++ b/crates/gateway/src/http_client/streamed.rs
@@ -61,7 +61,7 @@
     source: Shared,
     /// Ends the body at the deadline even if its receiver has stopped reading, and reads ahead of a
     /// slow receiver.
-    attendant: AbortHandle,
+    watchdog: AbortHandle,
 }
 
 /// `None` once the body has ended.
@@ -183,7 +183,7 @@
 }
 
 /// Reads ahead of a slow receiver, and ends the body at the deadline.
-async fn attend(source: Shared, deadline: Instant) {
+async fn watch(source: Shared, deadline: Instant) {
     loop {
         tokio::time::sleep_until(deadline.min(Instant::now() + READ_AHEAD_INTERVAL)).await;
         if Instant::now() >= deadline {
@@ -223,11 +223,11 @@
             on_end: Vec::new(),
             _buffer_memory: memory.reserve(STREAM_BUFFER_BYTES)?,
         })));
-        let attendant = tokio::task::spawn_local(attend(source.clone(), deadline));
+        let watchdog = tokio::task::spawn_local(watch(source.clone(), deadline));
         Ok(Self {
             remaining_bytes,
             source,
-            attendant: attendant.abort_handle(),
+            watchdog: watchdog.abort_handle(),
         })
     }
 
@@ -281,7 +281,7 @@
 
 impl Drop for Streamed {
     fn drop(&mut self) {
-        self.attendant.abort();
+        self.watchdog.abort();
         end_source(&self.source, StreamEnd::Cancelled);
     }
 }
