--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -22,8 +22,8 @@
         "unframed" => unframed,
         "long-objective" => long_objective,
         "cold" => cold,
-        "header-limit" => header_limit,
         "quarantine" => quarantine,
+        "restored" => restored,
         _ => return Err(io::Error::other("no such case")),
     };
     let mut world = World::new()?;
@@ -261,52 +261,6 @@
     Ok(most_f > BOUND)
 }
 
-/// CONFIG: a config raises `max_header_bytes`; a kept connection goes on with the old limit.
-fn header_limit(world: &mut World, has_trouble: bool) -> io::Result<bool> {
-    world.configure(3, &[("read", "idempotent", 2000, "600")], 8192);
-    let settings = world.target_settings("i-1", 50, 4, 20);
-    let target = world.start_target(&settings, "s", "pasig-a", 1)?;
-    let machine = world.add_machine("pasig-a")?;
-    world.wait_served(machine, "/read/x")?;
-    let front = world.machines[machine].front();
-    let mut kept: Vec<Connection> = Vec::new();
-    for _ in 0..12 {
-        kept.push(Connection::open(front, Duration::from_secs(1))?);
-    }
-    let limit_bytes = if has_trouble { 16384 } else { 8192 };
-    let ask = |connection: &mut Connection, id: &str, head_bytes: usize| {
-        let mut request = request("GET", "/read/x", id, 2000);
-        request.headers.push(("Cookie".to_owned(), format!("session={}", "x".repeat(head_bytes.saturating_sub(300)))));
-        let bytes = request.to_bytes().len();
-        let answer = exchange(connection, &request, Duration::from_secs(2));
-        world.record.note(&format!("client of {id}, head of {bytes} bytes: {}", answer.text()));
-        answer
-    };
-    for (number, connection) in kept.iter_mut().enumerate() {
-        ask(connection, &format!("before-{number}"), 4000);
-    }
-    if has_trouble {
-        world.configure(5, &[("read", "idempotent", 2000, "600")], 16384);
-    }
-    // Later than `config_apply_ms` after the ack, and with the connections in use meanwhile.
-    for round in 0..4 {
-        thread::sleep(CONFIG_APPLY / 2);
-        for (number, connection) in kept.iter_mut().enumerate() {
-            ask(connection, &format!("during-{round}-{number}"), 4000);
-        }
-    }
-    let mut new = Connection::open(front, Duration::from_secs(1))?;
-    let on_new = ask(&mut new, "after-new", limit_bytes - 2000);
-    let mut refused = 0;
-    for (number, connection) in kept.iter_mut().enumerate() {
-        let answer = ask(connection, &format!("after-{number}"), limit_bytes - 2000);
-        refused += usize::from(answer.status() == 431);
-    }
-    let runs = target.arrivals().iter().filter(|arrival| arrival.id.starts_with("after-")).count();
-    world.record.note(&format!("on a new connection: {}; of 12 on kept connections {refused} were refused with 431; the target got {runs} of 13", on_new.text()));
-    Ok(refused > 0 && on_new.is_sealed())
-}
-
 /// Starved: one target crashes once while it runs claims of two callers for the same race.
 fn quarantine(world: &mut World, has_trouble: bool) -> io::Result<bool> {
     const BEFORE: Duration = Duration::from_secs(6);
@@ -389,3 +343,77 @@
     world.record.note(&format!("claim: {} of {} served; lookup: {} of {}; all: {} of {}", counts[1].1, counts[1].0, counts[0].1, counts[0].0, all.1, all.0));
     Ok(part(counts[1]) < part(all) / 4.0)
 }
+
+/// CONFIG: the store comes back from a copy some seconds old, and a machine is started again before the operator
+/// has written the lost config again.
+fn restored(world: &mut World, has_trouble: bool) -> io::Result<bool> {
+    const CONTACT: Duration = Duration::from_millis(3000);
+    /// The operator writes again what was lost this long after the store is back.
+    const WRITTEN_AGAIN_AFTER: Duration = Duration::from_secs(6);
+    let old = [("read", "idempotent", 2000, "600")];
+    let new = [("read", "idempotent", 2000, "600"), ("added", "idempotent", 2000, "600")];
+    world.configure(3, &old, 16384);
+    let settings = world.target_settings("i-1", 50, 4, 20);
+    let _target = world.start_target(&settings, "s", "pasig-a", 1)?;
+    for _ in 0..3 {
+        let machine = world.add_machine("pasig-a")?;
+        world.wait_served(machine, "/read/x")?;
+    }
+    let copy = world.store.copy();
+    world.configure(5, &new, 16384);
+    let acked_at = Instant::now();
+    thread::sleep(Duration::from_millis(2500));
+    for machine in 0..3 {
+        let answer = send_once(world.machines[machine].front(), &request("GET", "/added/x", &format!("in-force-{machine}"), 2000), Duration::from_secs(2));
+        world.record.note(&format!("client at {} asks on the added route: {}", world.machines[machine].name, answer.text()));
+        if !answer.is_sealed() {
+            return Err(io::Error::other("r5 is not in force"));
+        }
+    }
+    if has_trouble {
+        world.record.note("the store is away for 0.5 s and comes back from a copy 3 s old; Store-Era rises by one");
+        for mode in &world.store_modes {
+            mode.store(SILENT, Ordering::SeqCst);
+        }
+        thread::sleep(Duration::from_millis(500));
+        world.store.restore(&copy);
+        for mode in &world.store_modes {
+            mode.store(UP, Ordering::SeqCst);
+        }
+        // What the targets wrote is written again.
+        world.report(&settings, "s", "pasig-a", 1);
+    }
+    let back_at = Instant::now();
+    if has_trouble {
+        world.record.note(&format!("SIGKILL to {}, which is then started again", world.machines[2].name));
+        world.machines[2].signal("KILL")?;
+        world.machines[2].wait_end(Duration::from_secs(2));
+        world.machines[2].start_again()?;
+    }
+    world.machines[2].wait_ready()?;
+    let started_at = Instant::now();
+    world.record.note(&format!("{} is ready again", world.machines[2].name));
+    let mut stale = [0, 0, 0];
+    let mut number = 0;
+    while back_at.elapsed() < WRITTEN_AGAIN_AFTER {
+        number += 1;
+        // Out of touch for `contact_ms` after its start.
+        let in_touch = started_at.elapsed() > CONTACT + Duration::from_millis(200);
+        for machine in 0..3 {
+            let answer = send_once(world.machines[machine].front(), &request("GET", "/added/x", &format!("again-{machine}-{number}"), 2000), Duration::from_secs(2));
+            if answer.status() == 404 && in_touch && acked_at.elapsed() > CONFIG_APPLY {
+                stale[machine] += 1;
+            }
+            world.record.note(&format!("client at {} asks on the added route: {}{}", world.machines[machine].name, answer.text(), if in_touch { "" } else { " (not counted: the machine has just started)" }));
+        }
+        thread::sleep(Duration::from_millis(200));
+    }
+    if has_trouble {
+        world.configure(5, &new, 16384);
+        thread::sleep(CONFIG_APPLY);
+        let answer = send_once(world.machines[2].front(), &request("GET", "/added/x", "written-again", 2000), Duration::from_secs(2));
+        world.record.note(&format!("after the operator has written r5 again: {}", answer.text()));
+    }
+    world.record.note(&format!("refused with 404 by machines in touch, by machine: {stale:?}"));
+    Ok(stale.iter().any(|count| *count > 0))
+}
--- a/review/stand-2/machine.rs
+++ b/review/stand-2/machine.rs
@@ -46,6 +46,26 @@
         Ok(())
     }
 
+    /// Waits until the process has ended, at most for so long. Returns whether it has.
+    pub fn wait_end(&mut self, longest: Duration) -> bool {
+        let end = Instant::now() + longest;
+        while Instant::now() < end {
+            if self.child.as_mut().is_none_or(|child| !matches!(child.try_wait(), Ok(None))) {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        false
+    }
+
+    /// Starts the process again after its first one, as the platform does.
+    pub fn start_again(&mut self) -> io::Result<()> {
+        let path = self.folder.join("settings.toml");
+        let text = fs::read_to_string(&path)?;
+        fs::write(path, text.replace("bootstrap = true", "bootstrap = false"))?;
+        self.start()
+    }
+
     pub fn signal(&self, name: &str) -> io::Result<()> {
         let id = self.child.as_ref().map_or(0, Child::id).to_string();
         let status = Command::new("kill").args(["-s", name, &id]).status()?;
--- a/review/stand-2/store.rs
+++ b/review/stand-2/store.rs
@@ -23,10 +23,12 @@
     ver: u64,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Rows {
     rows: BTreeMap<(String, String), Row>,
     ver: u64,
+    /// Rises by one each time the store comes back from an older copy.
+    era: u64,
 }
 
 struct Shared {
@@ -35,6 +37,9 @@
     started: Instant,
 }
 
+/// The rows of a store at some moment.
+pub struct Copy(Rows);
+
 /// A running store. Each machine reaches it at an address of its own, so that the store can be away
 /// for some of them.
 #[derive(Clone)]
@@ -64,6 +69,19 @@
         self.put_encoded(table, key, value.map(|v| base64(v.as_bytes())))
     }
 
+    /// Returns a copy from which the store may come back.
+    pub fn copy(&self) -> Copy {
+        Copy(self.0.rows.lock().unwrap().clone())
+    }
+
+    /// Comes back from a copy: what was written since is gone, versions are given out again.
+    pub fn restore(&self, copy: &Copy) {
+        let mut rows = self.0.rows.lock().unwrap();
+        let era = rows.era + 1;
+        *rows = Rows { era, ..copy.0.clone() };
+        self.0.changed.notify_all();
+    }
+
     fn put_encoded(&self, table: &str, key: &str, value: Option<String>) -> u64 {
         let mut rows = self.0.rows.lock().unwrap();
         rows.ver += 1;
@@ -75,7 +93,9 @@
 
     fn serve(&self, mut connection: Connection, mode: &AtomicU8) {
         while let Ok(Some(request)) = connection.read(None) {
-            let response = self.respond(&request, mode);
+            let mut response = self.respond(&request, mode);
+            let era = self.0.rows.lock().unwrap().era.to_string();
+            response.headers.push(("Store-Era".to_owned(), era));
             while mode.load(Ordering::SeqCst) == SILENT {
                 thread::sleep(Duration::from_millis(20));
                 // What was asked while the store was away is not answered any more.
