Log each body that is broken off, and why its request is not sent again

Cause: of a read whose body without a length was given up at its target, the log said only that the exchange was too slow and that the request ended broken.

Change: `body_broken_off` with bytes, the time since the head, the time left and the objective; `not_sent_again` with the reason. The buffer of a body is a type of its own (`http_client::buffered`), which knows what has arrived.

--- a/crates/gateway/src/frontend/progress.rs
+++ b/crates/gateway/src/frontend/progress.rs
@@ -116,6 +116,14 @@
         Ok(None)
     }
 
+    /// Logs why a request that was given up at a target is not sent to another one.
+    pub(super) fn report_not_sent_again(&self, context: &RequestContext, reason: &str) {
+        if self.indeterminate_reason.is_some() {
+            let tried = context.tried_targets.len();
+            log::info!(event = "not_sent_again", request = context.id.as_str(), reason = reason, targets = tried; "request without a valid response is not sent to another target");
+        }
+    }
+
     /// Returns the failure of a request that has no time left for a further attempt.
     pub(super) fn no_time_failure(&self) -> Failure {
         match self.indeterminate_reason {
--- a/crates/gateway/src/frontend/retry.rs
+++ b/crates/gateway/src/frontend/retry.rs
@@ -68,13 +68,18 @@
         }
         let reservation = match reserve_next(node, context).await {
             Ok(reservation) => reservation,
-            Err(Denial::Leaving) => return Err(progress.leaving_failure()),
+            Err(Denial::Leaving) => {
+                progress.report_not_sent_again(context, "leaving");
+                return Err(progress.leaving_failure());
+            }
             Err(Denial::Full(retry_after)) => {
                 node.record_room(context, false);
+                progress.report_not_sent_again(context, "no room");
                 return Err(progress.no_room_failure(retry_after));
             }
         };
         if !progress.withdraw_attempt(node, context) {
+            progress.report_not_sent_again(context, "no budget");
             return Err(progress.no_target_failure(context.route.objective));
         }
         let target = reservation.dispatch.target.clone();
--- a/crates/gateway/src/http_client/mod.rs
+++ b/crates/gateway/src/http_client/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP client for requests to targets, the platform's store and other VMs.
 
+mod buffered;
 mod client;
 mod connection;
 mod outcome;
--- a/crates/gateway/src/http_client/response_body.rs
+++ b/crates/gateway/src/http_client/response_body.rs
@@ -2,17 +2,15 @@
 
 use {
     super::{
-        ResponseFault,
         client::CheckIn,
         connection::Connection,
         streamed::{StreamEnd, Streamed},
     },
     crate::{
-        memory::{MemoryBudget, MemoryReservation, OutOfMemory},
+        memory::{MemoryBudget, OutOfMemory},
         transport::{Guard, Unwritten},
     },
     bytes::Bytes,
-    http_body_util::BodyExt,
     hyper::body::{Body, Frame, Incoming, SizeHint},
     std::{
         pin::Pin,
@@ -22,11 +20,6 @@
     tokio::time::Instant,
 };
 
-/// Largest response body that is buffered. One without a length may have no end.
-const MAX_BUFFERED_BYTES: usize = 32 * 1024 * 1024;
-/// A buffered body may take the memory of all bodies divided by this number.
-const BODY_MEMORY_DIVISOR: usize = 8;
-
 /// Body of a response. It is complete only if it ends without an error.
 #[derive(Debug)]
 pub struct ResponseBody {
@@ -66,34 +59,6 @@
         Ok(Self::new(Content::Streamed(streamed)))
     }
 
-    /// Reads a whole body into memory.
-    ///
-    /// # Errors
-    /// A [`ResponseFault`] if the body ends early or is too large for the memory that is left.
-    pub(super) async fn buffer(
-        mut incoming: Incoming,
-        memory: &Rc<MemoryBudget>,
-    ) -> Result<Self, ResponseFault> {
-        let max_bytes = MAX_BUFFERED_BYTES.min(memory.limit_bytes() / BODY_MEMORY_DIVISOR);
-        let mut reservation = memory.empty_reservation();
-        let mut buffer = Vec::new();
-        while let Some(frame) = incoming.frame().await {
-            let frame = frame.map_err(|_| ResponseFault::Truncated)?;
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            if buffer.len() + data.len() > max_bytes {
-                return Err(ResponseFault::TooLarge);
-            }
-            make_room(&mut buffer, data.len(), &mut reservation)
-                .map_err(|_| ResponseFault::TooLarge)?;
-            buffer.extend_from_slice(&data);
-        }
-        let mut body = Self::from(Bytes::from(buffer));
-        body.hold(reservation);
-        Ok(body)
-    }
-
     /// Returns whether the body is passed on while it arrives.
     pub(crate) fn is_streamed(&self) -> bool {
         matches!(self.content, Content::Streamed(_))
@@ -133,22 +98,6 @@
     }
 }
 
-/// Grows a buffer by at least half, so that `bytes` more fit. Its whole capacity is reserved.
-fn make_room(
-    buffer: &mut Vec<u8>,
-    bytes: usize,
-    reservation: &mut MemoryReservation,
-) -> Result<(), OutOfMemory> {
-    let spare = buffer.capacity() - buffer.len();
-    if bytes <= spare {
-        return Ok(());
-    }
-    let growth = (bytes - spare).max(buffer.capacity() / 2);
-    reservation.grow(growth)?;
-    buffer.reserve_exact(spare + growth);
-    Ok(())
-}
-
 impl From<Bytes> for ResponseBody {
     fn from(bytes: Bytes) -> Self {
         Self::new(Content::Whole(bytes))
--- a/crates/gateway/src/http_client/send.rs
+++ b/crates/gateway/src/http_client/send.rs
@@ -3,13 +3,14 @@
 use {
     super::{
         Client, NotExecutedReason, Outcome, ResponseBody, ResponseFault, TargetResponse,
+        buffered::Buffered,
         client::CheckIn,
         connection::Connection,
         request::headers_length,
         send_tracker::{Receiver, SendTracker, Transmission},
         streamed::is_streamed,
     },
-    crate::HeaderNames,
+    crate::{HeaderNames, node::duration_ms},
     balance::{Feedback, Field, body_time},
     bytes::Bytes,
     http_body_util::Full,
@@ -238,14 +239,17 @@
             });
         }
         let deadline = read_deadline(&incoming, attempt);
-        let buffered = ResponseBody::buffer(incoming, &self.memory);
-        match tokio::time::timeout_at(deadline, buffered).await {
+        let began_at = Instant::now();
+        let mut buffered = Buffered::new(incoming, &self.memory);
+        match tokio::time::timeout_at(deadline, buffered.read_to_end()).await {
             Err(_) if deadline < attempt.deadline => {
+                report_broken_off(&buffered, attempt, began_at);
                 Err(Outcome::Indeterminate(ResponseFault::TooSlow))
             }
             Err(_) => Err(Outcome::TimedOut),
             Ok(Err(fault)) => Err(Outcome::Indeterminate(fault)),
-            Ok(Ok(mut body)) => {
+            Ok(Ok(())) => {
+                let mut body = buffered.into_body();
                 body.set_deadline(attempt.deadline);
                 Ok(RawResponse {
                     status: parts.status,
@@ -363,6 +367,14 @@
     now + body_time(time_left, attempt.retry_objective)
 }
 
+/// Logs a body that is given up for another attempt while it still comes.
+fn report_broken_off(body: &Buffered, attempt: &Attempt<'_>, began_at: Instant) {
+    let took_ms = duration_ms(began_at.elapsed());
+    let left_ms = duration_ms(attempt.deadline.saturating_duration_since(Instant::now()));
+    let objective_ms = duration_ms(attempt.retry_objective.unwrap_or_default());
+    log::info!(event = "body_broken_off", target = attempt.target_id, bytes = body.arrived_bytes(), took_ms = took_ms, left_ms = left_ms, objective_ms = objective_ms; "body without a length is given up, as its request may be sent again");
+}
+
 /// Checks the request identifier, the statement of non-execution and the signature. Returns what the
 /// target states about itself, or the outcome if the response cannot be used.
 fn check_head(
