Await a body without a length beside the other attempt, in place of breaking it off

Cause: such a body may have no end, so that its time was divided. What was left for another attempt was taken for certain: whether another target was there, had room, was quicker, whether a retry was left or the VM ended before it was asked after the running exchange had been stopped. The owner of a target's queue divided the time as well, for attempts that only the relaying VM could know of.

Change: when a body is overdue, other targets are asked beside the exchange that goes on (`frontend::beside`); it is dropped only when another response is whole. An owner of a queue passes an overdue body on in chunks, and the VM that relayed the request decides. The time that is divided ends with a VM that ends, also if it is stopped meanwhile: such a VM awaited a body without end alone until its own end. A server error of the other target no longer replaces the first response. What is recorded of exchanges has a file of its own (`frontend::record`).

Why it works: nothing is stopped for an attempt that is only hoped for, so that it need not be known whether, and how soon, that attempt succeeds. A body without end still costs no answer, as the other attempt begins at the same time as before, or earlier at a VM that ends (`vms endless`, unchanged).

Tests: `vms slow_bodies`, 13. Before, 11 fail (502, 504, 500 or no answer in place of 200); the other two guard what must stay.

--- a/crates/balance/src/body_time.rs
+++ b/crates/balance/src/body_time.rs
@@ -1,4 +1,4 @@
-//! How long the body of a response is awaited before its request is sent again.
+//! How long the body of a response is awaited alone, before its request is sent to another target beside.
 
 use std::time::Duration;
 
@@ -8,14 +8,16 @@
 /// Part of the time left that is kept, at most.
 const MAX_PART_KEPT: u32 = 2;
 
-/// Returns the time within which a body that states no length has to be read whole, out of the
-/// `time_left` of its request when the head of the response arrives.
+/// Returns the time after which a body that states no length is not awaited alone any longer, out of
+/// the `time_left` of its request.
 ///
-/// Such a body may have no end. If the request may be sent again, two of its latency objectives,
-/// `retry_objective` each, are left behind that time, or half of the time left if that is less.
+/// Such a body may have no end. Two latency `objective`s are kept for another attempt, or half of the
+/// time left if that is less. The body is awaited on meanwhile, as that attempt may not be possible, or
+/// no quicker.
 #[must_use]
-pub fn body_time(time_left: Duration, retry_objective: Option<Duration>) -> Duration {
-    let kept = retry_objective
-        .map(|objective| (objective * OBJECTIVES_KEPT).min(time_left / MAX_PART_KEPT));
-    time_left.saturating_sub(kept.unwrap_or_default())
+pub fn body_time(time_left: Duration, objective: Duration) -> Duration {
+    let kept = objective
+        .saturating_mul(OBJECTIVES_KEPT)
+        .min(time_left / MAX_PART_KEPT);
+    time_left.saturating_sub(kept)
 }
--- a/crates/gateway/src/frontend/hedge.rs
+++ b/crates/gateway/src/frontend/hedge.rs
@@ -1,7 +1,10 @@
 //! Sends a slow read once more while its first exchange goes on, and takes the first good response.
 
 use {
-    super::attempt::{Refusal, attempt_target},
+    super::{
+        attempt::{Refusal, attempt_target},
+        exchange::Exchange,
+    },
     crate::{
         Node,
         http_client::{Outcome, TargetRequest},
@@ -13,12 +16,12 @@
 /// Number of times that a copy of one request is considered.
 const MAX_CHECKS: usize = 3;
 
-/// The result of an exchange, or why there was none.
+/// The result of an exchange that has ended, or why there was none.
 type AttemptResult = Result<Outcome, Refusal>;
 
-/// How an attempt ended, with its copy if there was one.
+/// What an attempt has led to, with its copy if there was one.
 pub(super) struct Attempted {
-    pub(super) result: AttemptResult,
+    pub(super) result: Result<Exchange, Refusal>,
     /// The target that a copy was sent to.
     pub(super) copied_to: Option<String>,
 }
@@ -31,21 +34,24 @@
     reservation: Reservation,
     fingerprint: &str,
 ) -> Attempted {
+    let reservation = Rc::new(reservation);
     let first = attempt_target(node, context, request, &reservation, fingerprint);
     let mut first = std::pin::pin!(first);
     let copy = match await_overdue(node, context, &reservation, first.as_mut()).await {
-        Awaited::Ended(result) => return ended(result),
-        Awaited::Overdue(None) => return ended(first.await),
+        Awaited::Ended(result) => return alone(result),
+        Awaited::Overdue(None) => return alone(first.await),
         Awaited::Overdue(Some(copy)) => copy,
     };
     let copied_to = Some(copy.dispatch.target.clone());
+    let first = std::pin::pin!(finish(node, context, first, fingerprint));
     // Boxed, as most requests have no copy.
-    let mut second = Box::pin(attempt_target(node, context, request, &copy, fingerprint));
+    let second = attempt_target(node, context, request, &copy, fingerprint);
+    let mut second = Box::pin(finish(node, context, second, fingerprint));
     let (result, winner, was_sent) = race(first, second.as_mut()).await;
     drop(second);
     if !was_sent {
         node.refund_retry(&context.service);
-        return ended(result);
+        return alone(result.map(Exchange::Ended));
     }
     // Another result is only used once both exchanges have ended.
     if rank(&result) == Rank::Good {
@@ -56,10 +62,23 @@
         node.record_given_up(&loser.dispatch);
     }
     report_end(node, context, &copy, winner);
-    Attempted { result, copied_to }
+    Attempted {
+        result: result.map(Exchange::Ended),
+        copied_to,
+    }
 }
 
-fn ended(result: AttemptResult) -> Attempted {
+/// Awaits the end of an attempt, as the request is at another target beside it already.
+async fn finish(
+    node: &Rc<Node>,
+    context: &RequestContext,
+    attempt: impl Future<Output = Result<Exchange, Refusal>>,
+    fingerprint: &str,
+) -> AttemptResult {
+    Ok(attempt.await?.finish(node, context, fingerprint).await)
+}
+
+fn alone(result: Result<Exchange, Refusal>) -> Attempted {
     Attempted {
         result,
         copied_to: None,
@@ -68,9 +87,9 @@
 
 /// Why an exchange is not awaited alone any longer.
 enum Awaited {
-    Ended(AttemptResult),
+    Ended(Result<Exchange, Refusal>),
     /// It is overdue. A copy is sent to the reserved target, if there is one.
-    Overdue(Option<Box<Reservation>>),
+    Overdue(Option<Rc<Reservation>>),
 }
 
 /// Awaits an exchange until a copy is to be sent, or it is clear that none will be.
@@ -78,7 +97,7 @@
     node: &Rc<Node>,
     context: &RequestContext,
     reservation: &Reservation,
-    mut first: Pin<&mut impl Future<Output = AttemptResult>>,
+    mut first: Pin<&mut impl Future<Output = Result<Exchange, Refusal>>>,
 ) -> Awaited {
     let dispatch = &reservation.dispatch;
     if !node.may_copy(context, dispatch) {
@@ -92,7 +111,7 @@
         }
         if let Some(copy) = node.reserve_copy_in_time(context) {
             report_sent(node, context, reservation, &copy);
-            return Awaited::Overdue(Some(Box::new(copy)));
+            return Awaited::Overdue(Some(Rc::new(copy)));
         }
     }
     let Some(mut check_at) = node.first_copy_check(context, dispatch) else {
@@ -107,7 +126,7 @@
         match node.check_copy(context, dispatch) {
             CopyCheck::Send(copy) => {
                 report_sent(node, context, reservation, &copy);
-                return Awaited::Overdue(Some(copy));
+                return Awaited::Overdue(Some(Rc::from(copy)));
             }
             CopyCheck::Later(at) => check_at = at,
             CopyCheck::Declined(declined) => {
--- a/crates/gateway/src/frontend/mod.rs
+++ b/crates/gateway/src/frontend/mod.rs
@@ -1,14 +1,17 @@
 //! HTTP server for callers and for requests relayed by other VMs.
 
 mod attempt;
+mod beside;
 mod body;
 mod departure;
+mod exchange;
 mod head;
 mod hedge;
 mod identity;
 mod in_flight;
 mod progress;
 mod quota;
+mod record;
 mod relayed;
 mod response;
 mod retry;
--- a/crates/gateway/src/frontend/progress.rs
+++ b/crates/gateway/src/frontend/progress.rs
@@ -6,6 +6,7 @@
         http_client::{Outcome, TargetResponse},
         node::{RequestContext, RetryCause},
     },
+    route::Kind,
     std::time::Duration,
 };
 
@@ -42,6 +43,8 @@
     full_retry_after: Option<Duration>,
     /// Set once a target declined although it had a free slot.
     had_free_slots: bool,
+    /// Why the request was not sent to another target, as it was logged last.
+    reported_reason: Option<&'static str>,
 }
 
 impl Progress {
@@ -116,11 +119,23 @@
         Ok(None)
     }
 
-    /// Logs why a request that was given up at a target is not sent to another one.
-    pub(super) fn report_not_sent_again(&self, context: &RequestContext, reason: &str) {
-        if self.indeterminate_reason.is_some() {
+    /// Records that a target is at work on the request, whose response may not become whole.
+    pub(super) fn record_running(&mut self) {
+        self.attempts += 1;
+        self.indeterminate_reason = Some("broken");
+    }
+
+    /// Returns whether the request may be sent to another target after the attempts so far.
+    pub(super) fn may_send_again(&self, context: &RequestContext) -> bool {
+        context.route.kind == Kind::Idempotent && self.attempts < context.route.max_attempts
+    }
+
+    /// Logs why a request that may have run is not sent to another target, unless that is logged.
+    pub(super) fn report_not_sent_again(&mut self, context: &RequestContext, reason: &'static str) {
+        if self.indeterminate_reason.is_some() && self.reported_reason != Some(reason) {
+            self.reported_reason = Some(reason);
             let tried = context.tried_targets.len();
-            log::info!(event = "not_sent_again", request = context.id.as_str(), reason = reason, targets = tried; "request without a valid response is not sent to another target");
+            log::info!(event = "not_sent_again", request = context.id.as_str(), reason = reason, targets = tried; "request without a whole response is not sent to another target");
         }
     }
 
--- a/crates/gateway/src/frontend/relayed.rs
+++ b/crates/gateway/src/frontend/relayed.rs
@@ -5,6 +5,7 @@
         attempt::send_directly,
         body,
         departure::{self, run_request},
+        exchange::Exchange,
         head::RequestHead,
         identity::identify_relayed,
         in_flight,
@@ -258,7 +259,7 @@
         return response;
     }
     let reservation = match reserve_target(node, context).await {
-        Ok(reservation) => reservation,
+        Ok(reservation) => Rc::new(reservation),
         Err(_) if is_ejected(node, context) => return outcome_response(Outcome::unreachable()),
         Err(Denial::Leaving) if node.leaving_since().is_some() => return leaving_response(context),
         Err(denial) => {
@@ -289,11 +290,14 @@
             return response;
         }
     };
-    let outcome = send_directly(node, context, request, &reservation, fingerprint).await;
+    let exchange = send_directly(node, context, request, &reservation, fingerprint).await;
     let dispatch = reservation.dispatch.clone();
-    // Dropped first, so that the load report no longer counts this request.
+    // Dropped first, so that the load report no longer counts this request, unless it still runs.
     drop(reservation);
-    let running_time = node.now().saturating_sub(dispatch.sent_at);
+    let (outcome, running_time) = match exchange {
+        Exchange::Ended(outcome) => (outcome, Some(node.now().saturating_sub(dispatch.sent_at))),
+        Exchange::Running(running) => (running.pass_on(node, context, fingerprint).await, None),
+    };
     let feedback = Feedback {
         load: load_report(node, &dispatch.target),
         slowdown: machine_slowdown(node, &dispatch.target),
@@ -301,11 +305,13 @@
     };
     let mut response = outcome_response(outcome);
     (node.header_names.feedback.encode)(&feedback, response.headers_mut());
-    set_number(
-        response.headers_mut(),
-        &RUNNING_TIME_MS_HEADER,
-        duration_ms(running_time),
-    );
+    if let Some(running_time) = running_time {
+        set_number(
+            response.headers_mut(),
+            &RUNNING_TIME_MS_HEADER,
+            duration_ms(running_time),
+        );
+    }
     response
 }
 
--- a/crates/gateway/src/frontend/retry.rs
+++ b/crates/gateway/src/frontend/retry.rs
@@ -3,6 +3,8 @@
 use {
     super::{
         attempt::Refusal,
+        beside::await_first_whole,
+        exchange::Exchange,
         hedge::attempt_with_copy,
         progress::{Failure, Progress},
         response::{HttpResponse, text_response, unavailable_response},
@@ -41,27 +43,29 @@
         .quarantine
         .borrow()
         .remaining_time(fingerprint, node.now());
-    let result = match remaining_quarantine {
-        Some(retry_after) => Err(Failure::NotExecuted {
+    let result = if let Some(retry_after) = remaining_quarantine {
+        Err(Failure::NotExecuted {
             reason: "quarantined",
             retry_after,
             is_shed: false,
             had_free_slots: false,
-        }),
-        None => try_targets(node, &mut context, request, fingerprint).await,
+        })
+    } else {
+        let mut progress = Progress::default();
+        try_targets(node, &mut context, request, fingerprint, &mut progress).await
     };
     finish_request(node, &context, result)
 }
 
 /// Sends the request to targets in turn, within the retry budget and the route's maximum number
 /// of attempts.
-async fn try_targets(
+pub(super) async fn try_targets(
     node: &Rc<Node>,
     context: &mut RequestContext,
     request: &TargetRequest,
     fingerprint: &str,
+    progress: &mut Progress,
 ) -> Result<TargetResponse, Failure> {
-    let mut progress = Progress::default();
     loop {
         if context.deadline.saturating_sub(node.now()) < MIN_TIME_LEFT {
             return Err(progress.no_time_failure());
@@ -108,7 +112,11 @@
                 progress.record_full(context.route.objective)?;
             }
             Err(Refusal::Full(retry_after)) => progress.record_full(retry_after)?,
-            Ok(outcome) => {
+            Ok(Exchange::Running(running)) => {
+                return await_first_whole(node, context, request, fingerprint, progress, *running)
+                    .await;
+            }
+            Ok(Exchange::Ended(outcome)) => {
                 if let Some(response) = progress.record_outcome(context, outcome)? {
                     return Ok(response);
                 }
--- a/crates/gateway/src/http_client/buffered.rs
+++ b/crates/gateway/src/http_client/buffered.rs
@@ -57,6 +57,11 @@
         self.arrived.len()
     }
 
+    /// Returns the part that has not arrived, and the other one with the memory that is counted for it.
+    pub(super) fn split(self) -> (Incoming, Bytes, MemoryReservation) {
+        (self.incoming, Bytes::from(self.arrived), self.memory)
+    }
+
     /// Returns the body, which was read to its end.
     pub(super) fn into_body(self) -> ResponseBody {
         let mut body = ResponseBody::from(Bytes::from(self.arrived));
--- a/crates/gateway/src/http_client/outcome.rs
+++ b/crates/gateway/src/http_client/outcome.rs
@@ -1,7 +1,7 @@
 //! Outcome of sending one request to one target.
 
 use {
-    super::{ResponseBody, request::headers_length},
+    super::{Arriving, ResponseBody, request::headers_length},
     balance::Feedback,
     hyper::{HeaderMap, StatusCode, body::Body},
     std::fmt,
@@ -51,7 +51,7 @@
     Unsigned,
     /// The response does not fit the memory that this VM has left for bodies.
     TooLarge,
-    /// The response was not whole early enough for another attempt.
+    /// The response was given up for another attempt, as VMs of earlier builds state.
     TooSlow,
 }
 
@@ -77,6 +77,14 @@
     TimedOut,
 }
 
+/// What an exchange with a target has led to.
+#[derive(Debug)]
+pub(crate) enum Reply {
+    Ended(Outcome),
+    /// The body of the response states no length, and goes on arriving.
+    Arriving(Box<Arriving>),
+}
+
 impl Outcome {
     /// Creates the outcome of a target to which no connection can be opened.
     pub(crate) fn unreachable() -> Self {
--- a/crates/gateway/src/http_client/relay.rs
+++ b/crates/gateway/src/http_client/relay.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Attempt, Client, NotExecutedReason, Outcome, ResponseFault, TargetRequest,
+        Arriving, Attempt, Client, NotExecutedReason, Outcome, Reply, ResponseFault, TargetRequest,
         outcome::{ANSWERED, TIMED_OUT},
         send::{RawResponse, build_request_with_deadline, classify_response},
     },
@@ -139,6 +139,8 @@
         /// Time that the target took to respond, if the VM states it.
         running_time: Option<Duration>,
     },
+    /// The response goes on arriving, although the VM has awaited it for a while.
+    Arriving(Box<Arriving>),
     /// The target has no room before the deadline; the request was not sent.
     Full {
         retry_after: Duration,
@@ -260,7 +262,10 @@
                 is_cut_off: raw.headers.contains_key(CUT_OFF_HEADER),
             };
         }
-        ANSWERED => classify_response(header_names, request, raw),
+        ANSWERED => match classify_response(header_names, request, raw) {
+            Reply::Ended(outcome) => outcome,
+            Reply::Arriving(arriving) => return RelayOutcome::Arriving(arriving),
+        },
         TIMED_OUT => Outcome::TimedOut,
         text => match NotExecutedReason::parse(text) {
             Some(reason) => Outcome::NotExecuted {
--- a/crates/gateway/src/http_client/response_body.rs
+++ b/crates/gateway/src/http_client/response_body.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        arriving::Rest,
         client::CheckIn,
         connection::Connection,
         streamed::{StreamEnd, Streamed},
@@ -59,6 +60,17 @@
         Ok(Self::new(Content::Streamed(streamed)))
     }
 
+    /// Creates a streamed body without a length, of which a part has arrived.
+    ///
+    /// # Errors
+    /// [`OutOfMemory`] if its buffers do not fit the memory that is left.
+    pub(super) fn streamed_from(rest: Rest) -> Result<Self, OutOfMemory> {
+        let deadline = rest.deadline;
+        let mut body = Self::new(Content::Streamed(Streamed::without_length(rest)?));
+        body.set_deadline(deadline);
+        Ok(body)
+    }
+
     /// Returns whether the body is passed on while it arrives.
     pub(crate) fn is_streamed(&self) -> bool {
         matches!(self.content, Content::Streamed(_))
@@ -130,7 +142,7 @@
     fn is_end_stream(&self) -> bool {
         match &self.content {
             Content::Whole(bytes) => bytes.is_empty(),
-            Content::Streamed(streamed) => streamed.remaining_bytes() == 0,
+            Content::Streamed(streamed) => streamed.remaining_bytes() == Some(0),
         }
     }
 
@@ -139,7 +151,9 @@
             Content::Whole(bytes) => {
                 SizeHint::with_exact(u64::try_from(bytes.len()).unwrap_or(u64::MAX))
             }
-            Content::Streamed(streamed) => SizeHint::with_exact(streamed.remaining_bytes()),
+            Content::Streamed(streamed) => streamed
+                .remaining_bytes()
+                .map_or_else(SizeHint::default, SizeHint::with_exact),
         }
     }
 }
--- a/crates/gateway/src/http_client/send.rs
+++ b/crates/gateway/src/http_client/send.rs
@@ -2,7 +2,9 @@
 
 use {
     super::{
-        Client, NotExecutedReason, Outcome, ResponseBody, ResponseFault, TargetResponse,
+        Arriving, Client, NotExecutedReason, Outcome, Reply, ResponseBody, ResponseFault,
+        TargetResponse,
+        arriving::Rest,
         buffered::Buffered,
         client::CheckIn,
         connection::Connection,
@@ -10,8 +12,8 @@
         send_tracker::{Receiver, SendTracker, Transmission},
         streamed::is_streamed,
     },
-    crate::{HeaderNames, node::duration_ms},
-    balance::{Feedback, Field, body_time},
+    crate::HeaderNames,
+    balance::{Feedback, Field},
     bytes::Bytes,
     http_body_util::Full,
     hyper::{
@@ -54,8 +56,6 @@
     /// Address of the target, or of the VM that the request is relayed through.
     pub(crate) address: SocketAddr,
     pub(crate) deadline: Instant,
-    /// Latency objective of the request, if it may be sent again after this attempt.
-    pub(crate) retry_objective: Option<Duration>,
     pub(crate) connect_timeout: Duration,
     /// On which connections the request may be sent.
     pub(crate) reuse: Reuse,
@@ -75,16 +75,24 @@
     Never,
 }
 
-/// A response that has not been checked. Its body is complete, or streamed.
+/// A response that has not been checked.
 pub(super) struct RawResponse {
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
-    pub(super) body: ResponseBody,
-    /// The connection, unless a streamed body holds it.
+    pub(super) body: RawBody,
+    /// The connection, unless the body holds it.
     pub(super) connection: Option<Connection>,
     pub(super) transmission: Transmission,
 }
 
+/// Body of a response that has not been checked.
+pub(super) enum RawBody {
+    /// It is complete, or streamed.
+    Ready(ResponseBody),
+    /// It states no length.
+    Arriving(Box<Rest>),
+}
+
 /// The head of a response, whose body follows on its connection.
 struct Started {
     response: Response<Incoming>,
@@ -93,16 +101,16 @@
 }
 
 impl Client {
-    /// Sends a request to a target, and returns how it ended.
+    /// Sends a request to a target, and returns how it ended, or a response whose body states no length.
     pub(crate) async fn send_to_target(
         self: &Rc<Self>,
         header_names: &HeaderNames,
         request: &TargetRequest,
         attempt: &Attempt<'_>,
-    ) -> Outcome {
+    ) -> Reply {
         let http_request = build_request(header_names, request, attempt);
         let result = self.exchange(header_names, request, http_request, attempt);
-        result.await.unwrap_or_else(|outcome| outcome)
+        result.await.unwrap_or_else(Reply::Ended)
     }
 
     /// Sends a request and receives the response. The body of one that cannot be used is not read,
@@ -113,7 +121,7 @@
         request: &TargetRequest,
         http_request: Request<Full<Bytes>>,
         attempt: &Attempt<'_>,
-    ) -> Result<Outcome, Outcome> {
+    ) -> Result<Reply, Outcome> {
         let mut started = self.send(http_request, attempt).await?;
         let response = &started.response;
         let connection = &started.connection;
@@ -133,12 +141,13 @@
         head?;
         let mut raw = self.receive_body(started, attempt).await?;
         let connection = raw.connection.take();
-        let outcome = classify_response(header_names, request, raw);
-        if let (Outcome::Answered(response), Some(connection)) = (&outcome, connection) {
+        let reply = classify_response(header_names, request, raw);
+        if let (Reply::Ended(Outcome::Answered(response)), Some(connection)) = (&reply, connection)
+        {
             self.check_in_for(attempt, &response.headers)
                 .check_in_when_ready(connection);
         }
-        Ok(outcome)
+        Ok(reply)
     }
 
     /// Sends a request and returns the unchecked response.
@@ -211,7 +220,8 @@
         }
     }
 
-    /// Reads the body of a response, or leaves it to be streamed if it is long.
+    /// Reads the body of a response, or leaves it to be streamed if it is long. One that states no
+    /// length is left as it is, as it may have no end.
     async fn receive_body(
         self: &Rc<Self>,
         started: Started,
@@ -233,33 +243,39 @@
             return Ok(RawResponse {
                 status: parts.status,
                 headers: parts.headers,
-                body,
+                body: RawBody::Ready(body),
                 connection: None,
                 transmission,
             });
         }
-        let deadline = read_deadline(&incoming, attempt);
-        let began_at = Instant::now();
+        let has_length = incoming.size_hint().exact().is_some();
         let mut buffered = Buffered::new(incoming, &self.memory);
-        match tokio::time::timeout_at(deadline, buffered.read_to_end()).await {
-            Err(_) if deadline < attempt.deadline => {
-                report_broken_off(&buffered, attempt, began_at);
-                Err(Outcome::Indeterminate(ResponseFault::TooSlow))
+        let (body, connection) = if has_length {
+            let read = tokio::time::timeout_at(attempt.deadline, buffered.read_to_end());
+            match read.await {
+                Err(_) => return Err(Outcome::TimedOut),
+                Ok(Err(fault)) => return Err(Outcome::Indeterminate(fault)),
+                Ok(Ok(())) => {}
             }
-            Err(_) => Err(Outcome::TimedOut),
-            Ok(Err(fault)) => Err(Outcome::Indeterminate(fault)),
-            Ok(Ok(())) => {
-                let mut body = buffered.into_body();
-                body.set_deadline(attempt.deadline);
-                Ok(RawResponse {
-                    status: parts.status,
-                    headers: parts.headers,
-                    body,
-                    connection: Some(connection),
-                    transmission,
-                })
-            }
-        }
+            let mut body = buffered.into_body();
+            body.set_deadline(attempt.deadline);
+            (RawBody::Ready(body), Some(connection))
+        } else {
+            let rest = Rest {
+                body: buffered,
+                connection,
+                check_in: self.check_in_for(attempt, &parts.headers),
+                deadline: attempt.deadline,
+            };
+            (RawBody::Arriving(Box::new(rest)), None)
+        };
+        Ok(RawResponse {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+            connection,
+            transmission,
+        })
     }
 
     /// Returns how the connection of an attempt goes back to the pool after its response.
@@ -339,42 +355,33 @@
     http_request
 }
 
-/// Classifies a response whose body was received.
+/// Classifies a response whose body was received, or goes on arriving.
 pub(super) fn classify_response(
     header_names: &HeaderNames,
     request: &TargetRequest,
     raw: RawResponse,
-) -> Outcome {
-    match check_head(header_names, request, raw.status, &raw.headers) {
-        Err(outcome) => outcome,
-        Ok(feedback) => Outcome::Answered(Box::new(TargetResponse {
+) -> Reply {
+    let feedback = match check_head(header_names, request, raw.status, &raw.headers) {
+        Ok(feedback) => feedback,
+        Err(outcome) => return Reply::Ended(outcome),
+    };
+    match raw.body {
+        RawBody::Ready(body) => Reply::Ended(Outcome::Answered(Box::new(TargetResponse {
             status: raw.status,
             headers: raw.headers,
-            body: raw.body,
+            body,
             feedback,
+        }))),
+        RawBody::Arriving(rest) => Reply::Arriving(Box::new(Arriving {
+            status: raw.status,
+            headers: raw.headers,
+            feedback,
+            rest: *rest,
+            _transmission: raw.transmission,
         })),
     }
 }
 
-/// Returns until when a body is read whole. One that states no length may have no end, and leaves
-/// time for another attempt.
-fn read_deadline(body: &Incoming, attempt: &Attempt<'_>) -> Instant {
-    if body.size_hint().exact().is_some() {
-        return attempt.deadline;
-    }
-    let now = Instant::now();
-    let time_left = attempt.deadline.saturating_duration_since(now);
-    now + body_time(time_left, attempt.retry_objective)
-}
-
-/// Logs a body that is given up for another attempt while it still comes.
-fn report_broken_off(body: &Buffered, attempt: &Attempt<'_>, began_at: Instant) {
-    let took_ms = duration_ms(began_at.elapsed());
-    let left_ms = duration_ms(attempt.deadline.saturating_duration_since(Instant::now()));
-    let objective_ms = duration_ms(attempt.retry_objective.unwrap_or_default());
-    log::info!(event = "body_broken_off", target = attempt.target_id, bytes = body.arrived_bytes(), took_ms = took_ms, left_ms = left_ms, objective_ms = objective_ms; "body without a length is given up, as its request may be sent again");
-}
-
 /// Checks the request identifier, the statement of non-execution and the signature. Returns what the
 /// target states about itself, or the outcome if the response cannot be used.
 fn check_head(
--- a/crates/gateway/src/http_client/streamed.rs
+++ b/crates/gateway/src/http_client/streamed.rs
@@ -1,7 +1,7 @@
 //! A body that is passed on while it arrives.
 
 use {
-    super::{client::CheckIn, connection::Connection, response_body::Incomplete},
+    super::{arriving::Rest, client::CheckIn, connection::Connection, response_body::Incomplete},
     crate::memory::{MemoryBudget, MemoryReservation, OutOfMemory},
     bytes::Bytes,
     hyper::body::{Body, Frame, Incoming},
@@ -57,7 +57,8 @@
 /// A body that is passed on while it arrives.
 #[derive(Debug)]
 pub(super) struct Streamed {
-    remaining_bytes: u64,
+    /// How much the receiver has not taken yet; `None` if the body states no length.
+    remaining_bytes: Option<u64>,
     source: Shared,
     /// Ends the body at the deadline even if its receiver has stopped reading, and reads ahead of a
     /// slow receiver.
@@ -70,8 +71,10 @@
 /// Where a streamed body comes from, and what is held until it ends.
 struct Source {
     incoming: Incoming,
-    /// Bytes that have not arrived yet.
-    missing_bytes: u64,
+    /// Bytes that have not arrived yet; `None` if the body states no length.
+    missing_bytes: Option<u64>,
+    /// How the arrival ended, which the receiver learns when it has taken all that came before.
+    arrival_end: Option<Result<(), Incomplete>>,
     /// The connection, until all bytes have arrived.
     link: Option<(Connection, CheckIn)>,
     /// What was read ahead of the receiver.
@@ -106,14 +109,14 @@
     fn poll_incoming(
         &mut self,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Bytes, hyper::Error>>> {
-        loop {
+    ) -> Poll<Option<Result<Bytes, Incomplete>>> {
+        while self.arrival_end.is_none() {
             let Poll::Ready(frame) = Pin::new(&mut self.incoming).poll_frame(context) else {
                 return Poll::Pending;
             };
             match frame {
-                None => return Poll::Ready(None),
-                Some(Err(error)) => return Poll::Ready(Some(Err(error))),
+                None => self.record_arrival_end(),
+                Some(Err(_)) => self.arrival_end = Some(Err(Incomplete)),
                 Some(Ok(frame)) => {
                     if let Ok(bytes) = frame.into_data() {
                         self.record_arrival(bytes.len());
@@ -122,16 +125,33 @@
                 }
             }
         }
+        Poll::Ready(self.arrival_end.and_then(Result::err).map(Err))
     }
 
     /// Gives the connection back once the whole body has arrived, so that its slot at the target is
     /// free however slowly the receiver reads.
     fn record_arrival(&mut self, bytes: usize) {
         let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
-        self.missing_bytes = self.missing_bytes.saturating_sub(bytes);
-        if self.missing_bytes == 0
-            && let Some((connection, check_in)) = self.link.take()
-        {
+        if let Some(missing_bytes) = &mut self.missing_bytes {
+            *missing_bytes = missing_bytes.saturating_sub(bytes);
+            if *missing_bytes == 0 {
+                self.give_back_connection();
+            }
+        }
+    }
+
+    /// Records that the connection brings no more of the body, which is whole if it states no length
+    /// or none is missing.
+    fn record_arrival_end(&mut self) {
+        let is_whole = self.missing_bytes.unwrap_or_default() == 0;
+        self.arrival_end = Some(is_whole.then_some(()).ok_or(Incomplete));
+        if is_whole {
+            self.give_back_connection();
+        }
+    }
+
+    fn give_back_connection(&mut self) {
+        if let Some((connection, check_in)) = self.link.take() {
             check_in.check_in_when_ready(connection);
         }
     }
@@ -212,27 +232,54 @@
         memory: &Rc<MemoryBudget>,
         deadline: Instant,
     ) -> Result<Self, OutOfMemory> {
-        let remaining_bytes = incoming.size_hint().lower();
-        let source = Rc::new(RefCell::new(Some(Source {
+        let remaining_bytes = Some(incoming.size_hint().lower());
+        let source = Source {
             incoming,
             missing_bytes: remaining_bytes,
+            arrival_end: None,
             link: Some((connection, check_in)),
             ahead: VecDeque::new(),
             ahead_memory: memory.empty_reservation(),
             receiver: None,
             on_end: Vec::new(),
             _buffer_memory: memory.reserve(STREAM_BUFFER_BYTES)?,
-        })));
+        };
+        Ok(Self::start(source, remaining_bytes, deadline))
+    }
+
+    /// Creates a body without a length, of which a part has arrived.
+    ///
+    /// # Errors
+    /// [`OutOfMemory`] if its buffers do not fit the memory that is left.
+    pub(super) fn without_length(rest: Rest) -> Result<Self, OutOfMemory> {
+        let buffer_memory = rest.check_in.client.memory.reserve(STREAM_BUFFER_BYTES)?;
+        let (incoming, arrived, ahead_memory) = rest.body.split();
+        let source = Source {
+            incoming,
+            missing_bytes: None,
+            arrival_end: None,
+            link: Some((rest.connection, rest.check_in)),
+            ahead: VecDeque::from_iter(Some(arrived).filter(|arrived| !arrived.is_empty())),
+            ahead_memory,
+            receiver: None,
+            on_end: Vec::new(),
+            _buffer_memory: buffer_memory,
+        };
+        Ok(Self::start(source, None, rest.deadline))
+    }
+
+    fn start(source: Source, remaining_bytes: Option<u64>, deadline: Instant) -> Self {
+        let source = Rc::new(RefCell::new(Some(source)));
         let watchdog = tokio::task::spawn_local(watch(source.clone(), deadline));
-        Ok(Self {
+        Self {
             remaining_bytes,
             source,
             watchdog: watchdog.abort_handle(),
-        })
+        }
     }
 
-    /// Returns how much the receiver has not taken yet.
-    pub(super) fn remaining_bytes(&self) -> u64 {
+    /// Returns how much the receiver has not taken yet; `None` if the body states no length.
+    pub(super) fn remaining_bytes(&self) -> Option<u64> {
         self.remaining_bytes
     }
 
@@ -247,7 +294,7 @@
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Incomplete>>> {
-        if self.remaining_bytes == 0 {
+        if self.remaining_bytes == Some(0) {
             return Poll::Ready(None);
         }
         let mut source = self.source.borrow_mut();
@@ -266,16 +313,32 @@
             },
         };
         drop(source);
-        let Some(Ok(bytes)) = bytes else {
-            end_source(&self.source, StreamEnd::Truncated);
-            return Poll::Ready(Some(Err(Incomplete)));
-        };
-        let taken_bytes = u64::try_from(bytes.len()).unwrap_or(u64::MAX);
-        self.remaining_bytes = self.remaining_bytes.saturating_sub(taken_bytes);
-        if self.remaining_bytes == 0 {
-            end_source(&self.source, StreamEnd::Complete);
+        match bytes {
+            Some(Ok(bytes)) => {
+                self.record_taken(bytes.len());
+                Poll::Ready(Some(Ok(Frame::data(bytes))))
+            }
+            None if self.remaining_bytes.is_none() => {
+                self.remaining_bytes = Some(0);
+                end_source(&self.source, StreamEnd::Complete);
+                Poll::Ready(None)
+            }
+            None | Some(Err(Incomplete)) => {
+                end_source(&self.source, StreamEnd::Truncated);
+                Poll::Ready(Some(Err(Incomplete)))
+            }
+        }
+    }
+
+    /// Counts what the receiver has taken of a body that states its length.
+    fn record_taken(&mut self, bytes: usize) {
+        if let Some(remaining_bytes) = &mut self.remaining_bytes {
+            let taken_bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+            *remaining_bytes = remaining_bytes.saturating_sub(taken_bytes);
+            if *remaining_bytes == 0 {
+                end_source(&self.source, StreamEnd::Complete);
+            }
         }
-        Poll::Ready(Some(Ok(Frame::data(bytes))))
     }
 }
 
--- a/crates/gateway/src/node/shutdown.rs
+++ b/crates/gateway/src/node/shutdown.rs
@@ -36,7 +36,7 @@
 
     /// Returns the time by which a request has to be answered because this VM ends, or the VM that
     /// relayed it. `None` if neither leaves.
-    pub(super) fn respond_by(&self, request: &RequestContext) -> Option<Duration> {
+    pub(crate) fn respond_by(&self, request: &RequestContext) -> Option<Duration> {
         let relayer_ends_at = request.assignment.as_ref().and_then(|assignment| {
             let name = assignment.relayed_by.as_deref()?;
             let stated = assignment.relayer_ends_at;
@@ -70,7 +70,7 @@
 
     /// Returns the time that is left for a request, until its deadline or the end of a VM that owes its
     /// answer.
-    pub(super) fn time_left(&self, request: &RequestContext, now: Duration) -> Duration {
+    pub(crate) fn time_left(&self, request: &RequestContext, now: Duration) -> Duration {
         let respond_by = self.respond_by(request).unwrap_or(request.deadline);
         request.deadline.min(respond_by).saturating_sub(now)
     }
