entry: let a slow first attempt go on beside its retries

What callers saw: an idempotent request whose target takes longer than ten usual runs, or than half of the time left, was stopped there. If no retry was left, no other target had a slot, or the others were as slow, the caller got `upstream-timeout`, although the first run would have been in time.

Change: after that time the retries go on beside the first attempt, which has all of the request's time; the first whole response is returned. Kept connections to that target are not used from then on, as before.

--- a/crates/entry/src/run/slot.rs
+++ b/crates/entry/src/run/slot.rs
@@ -5,7 +5,7 @@
         node::{Node, PoolKey, Request, Response},
         upstream::{self, Call, Clients, SendResult},
     },
-    std::{sync::Arc, time::Duration},
+    std::{cell::Cell, rc::Rc, sync::Arc, time::Duration},
     steer::{Admission, Completion, Grant, RequestClass, SlotRequest},
     tokio::sync::oneshot,
     wire::Reason,
@@ -40,10 +40,15 @@
     key: &'a PoolKey,
     grant: Grant,
     completion: Completion,
+    /// Whether the target takes so long that its exchange counts as failed if it is dropped.
+    overdue: Rc<Cell<bool>>,
 }
 
 impl Drop for Slot<'_> {
     fn drop(&mut self) {
+        if self.completion == Completion::Unused && self.overdue.get() {
+            self.completion = Completion::Failed;
+        }
         let now = self.context.node.now();
         let mut state = self.context.node.state();
         if let Some(pool_state) = state.pools.get_mut(self.key) {
@@ -128,6 +133,7 @@
             key,
             grant,
             completion: Completion::Unused,
+            overdue: Rc::default(),
         }),
         Ok(Ok(Err(reason))) => Err((reason, retry_after)),
         Ok(Err(_)) | Err(_) => Err((Reason::Overloaded, retry_after)),
@@ -174,6 +180,11 @@
         self.grant.target
     }
 
+    /// Returns the flag that is set once the target takes long.
+    pub(crate) fn overdue(&self) -> Rc<Cell<bool>> {
+        self.overdue.clone()
+    }
+
     /// Returns the mean service time of the target.
     pub(crate) fn mean_service_time(&self) -> Duration {
         let state = self.context.node.state();
@@ -226,7 +237,7 @@
             SendResult::ConnectFailed | SendResult::Incomplete { .. } => Completion::Failed,
         };
         if !call.needs_own_connection && matches!(result, SendResult::Incomplete { .. }) {
-            self.suspend_reuse();
+            suspend_reuse(self.context, self.key, self.grant.target);
         }
         if matches!(result, SendResult::Answered { .. }) {
             node.state().quarantine.record_success(&request.fingerprint);
@@ -245,17 +256,15 @@
             .and_then(|pool_state| pool_state.reuse_suspended_until.get(&self.grant.target));
         until.is_some_and(|until| now < *until)
     }
+}
 
-    /// Stops the reuse of idle connections to the target until they have expired. All of
-    /// them may be dead although they still appear open.
-    fn suspend_reuse(&self) {
-        let until = self.context.node.now() + upstream::IDLE_CONNECTION_TIMEOUT;
-        let mut state = self.context.node.state();
-        if let Some(pool_state) = state.pools.get_mut(self.key) {
-            pool_state
-                .reuse_suspended_until
-                .insert(self.grant.target, until);
-        }
+/// Stops the reuse of idle connections to a target until they have expired. All of them may be dead
+/// although they still appear open.
+pub(crate) fn suspend_reuse(context: &Context, key: &PoolKey, target: usize) {
+    let until = context.node.now() + upstream::IDLE_CONNECTION_TIMEOUT;
+    let mut state = context.node.state();
+    if let Some(pool_state) = state.pools.get_mut(key) {
+        pool_state.reuse_suspended_until.insert(target, until);
     }
 }
 
--- a/crates/rig/tests/answers.rs
+++ b/crates/rig/tests/answers.rs
@@ -93,6 +93,34 @@
     assert_eq!(audit.answered, audit.sent, "{audit:?}");
 }
 
+/// Guards against a run that is broken off for a retry which is then not made, or is no quicker.
+#[actix_rt::test]
+async fn slow_targets_are_awaited_where_retries_do_not_help() {
+    /// Runs take up to half as long again, which is within the time of a caller, and mostly longer than half of it.
+    const SLOW_MS: f64 = 1250.0;
+    let rig = Rig::start(Options::default()).await.unwrap();
+    let usual = LoadGenerator::start(rig.create_callers(3), &[bib_request()], PAUSE);
+    actix_rt::time::sleep(Duration::from_secs(1)).await;
+    usual.stop().await;
+    let slow = Behaviour {
+        service_ms: SLOW_MS,
+        ..with_fault(Fault::None)
+    };
+    rig.set_target_behaviour("bibdesk", slow).await.unwrap();
+
+    let once = Request {
+        max_sends: 1,
+        ..bib_request()
+    };
+    let load = LoadGenerator::start(rig.create_callers(4), &[once], PAUSE);
+    actix_rt::time::sleep(Duration::from_secs(5)).await;
+    let records = load.stop().await;
+
+    let audit = Audit::from_records(&records, &rig.fetch_runs().await.unwrap());
+    assert!(audit.guarantees_hold(), "{audit:?}");
+    assert_eq!(audit.answered, audit.sent, "{audit:?} {records:#?}");
+}
+
 #[actix_rt::test]
 async fn silent_open_connections_need_no_resend_by_the_caller() {
     let rig = Rig::start(Options::default()).await.unwrap();
