Pass on no response whose status is that of no final one

Cause: a response was whatever the library could parse.

Change: `wire::status::is_final` (200 to 599) is asked on the head of each response of a target, by both programs, also of relayed and streamed ones. Another one counts as a failure; the request is sent elsewhere if it may run again, and ends with 502 otherwise. The outcome `malformed` tells such responses, and bytes that are none, from a closed connection (`lost`).

Tests, with real bytes: `vms statuses` (3 of 4 fail before; the other one guards 200 to 599) and `rig answers status_that_is_no_response_is_not_passed_on` (fails before).

--- a/crates/entry/src/upstream/send.rs
+++ b/crates/entry/src/upstream/send.rs
@@ -126,6 +126,10 @@
         log::error!(event = "foreign_answer", request = request.id.as_str(); "discarded a response that carries the identifier of another request");
         return incomplete_result(Reason::AnswerLost, false);
     }
+    if !wire::status::is_final(status.as_u16()) {
+        log::warn!(event = "malformed_answer", request = request.id.as_str(), status = status.as_u16(); "discarded a response whose status is that of no final response");
+        return incomplete_result(Reason::UpstreamBroke, false);
+    }
     let content_length = content_length(response.headers());
     let headers = forwarded_headers(response.headers());
     // The target sent a response head, so the request did not crash it.
--- a/crates/gateway/src/frontend/record.rs
+++ b/crates/gateway/src/frontend/record.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         Node,
-        http_client::{NotExecutedReason, Outcome, ResponseFault, StreamEnd},
+        http_client::{NotExecutedReason, Outcome, StreamEnd},
         node::{RequestContext, Reservation, duration_ms},
     },
     balance::{Dispatch, Feedback, LoadReport},
@@ -52,7 +52,7 @@
         Outcome::Indeterminate(fault) => {
             let mut balancer = node.balancer.borrow_mut();
             balancer.record_rejection(&dispatch.target, None, now);
-            if *fault == ResponseFault::ConnectionLost {
+            if fault.may_be_crash() {
                 crate::peers::detect_crash(node, reservation.address, fingerprint);
             }
         }
@@ -166,7 +166,7 @@
                 node.record_unreachable();
             }
         }
-        Outcome::Indeterminate(ResponseFault::ConnectionLost) => {
+        Outcome::Indeterminate(fault) if fault.may_be_crash() => {
             record_failure(node, context, reservation, now);
             // The VM that relayed the request counts the crash, as it sees every target that
             // the request was sent to.
--- a/crates/gateway/src/http_client/outcome.rs
+++ b/crates/gateway/src/http_client/outcome.rs
@@ -43,6 +43,8 @@
 pub(crate) enum ResponseFault {
     /// The connection closed before a response.
     ConnectionLost,
+    /// The target sent what is no HTTP response, or one whose status is that of no final response.
+    Malformed,
     /// The response body ended early.
     Truncated,
     /// The response lacks a request identifier or carries that of another request.
@@ -151,8 +153,9 @@
 }
 
 impl ResponseFault {
-    const ALL: [Self; 6] = [
+    const ALL: [Self; 7] = [
         Self::ConnectionLost,
+        Self::Malformed,
         Self::Truncated,
         Self::RequestIdMismatch,
         Self::Unsigned,
@@ -165,9 +168,15 @@
         Self::ALL.into_iter().find(|fault| fault.as_str() == text)
     }
 
+    /// Returns whether the target may have crashed while it ran the request.
+    pub(crate) fn may_be_crash(self) -> bool {
+        matches!(self, Self::ConnectionLost | Self::Malformed)
+    }
+
     fn as_str(self) -> &'static str {
         match self {
             Self::ConnectionLost => "lost",
+            Self::Malformed => "malformed",
             Self::Truncated => "cut",
             Self::RequestIdMismatch => "foreign",
             Self::Unsigned => "unsigned",
--- a/crates/gateway/src/http_client/send.rs
+++ b/crates/gateway/src/http_client/send.rs
@@ -207,7 +207,12 @@
                         if is_reused {
                             self.record_break(attempt.address);
                         }
-                        return Err(Outcome::Indeterminate(ResponseFault::ConnectionLost));
+                        let fault = if failed.error().is_parse() {
+                            ResponseFault::Malformed
+                        } else {
+                            ResponseFault::ConnectionLost
+                        };
+                        return Err(Outcome::Indeterminate(fault));
                     }
                 },
                 Ok(Ok(response)) => response,
@@ -382,14 +387,17 @@
     }
 }
 
-/// Checks the request identifier, the statement of non-execution and the signature. Returns what the
-/// target states about itself, or the outcome if the response cannot be used.
+/// Checks the status, the request identifier, the statement of non-execution and the signature. Returns
+/// what the target states about itself, or the outcome if the response cannot be used.
 fn check_head(
     header_names: &HeaderNames,
     request: &TargetRequest,
     status: StatusCode,
     headers: &HeaderMap,
 ) -> Result<Feedback, Outcome> {
+    if !wire::status::is_final(status.as_u16()) {
+        return Err(Outcome::Indeterminate(ResponseFault::Malformed));
+    }
     let mut feedback = (header_names.feedback.decode)(headers);
     // With another status the header does not concern this VM.
     if status != StatusCode::SERVICE_UNAVAILABLE {
--- a/crates/rig/tests/answers.rs
+++ b/crates/rig/tests/answers.rs
@@ -267,6 +267,31 @@
     assert_eq!(refund.status, Status::MayHaveRun, "{refund:?}");
 }
 
+/// Guards against a status that is none, or that of no final response, which callers get as their response.
+#[actix_rt::test]
+async fn status_that_is_no_response_is_not_passed_on() {
+    let rig = Rig::start(Options::default()).await.unwrap();
+    let caller = rig.create_caller(0);
+    let url = rig.vm_specs[0].caller_url();
+
+    let mut passed_on = Vec::new();
+    for status in [0, 1, 99, 101, 150, 199, 600, 700, 999, 1000] {
+        for (service, request) in [("payline", refund_request()), ("bibdesk", bib_request())] {
+            rig.set_target_behaviour(service, with_fault(Fault::Status(status)))
+                .await
+                .unwrap();
+            let record = caller
+                .send_to(&url, &request, &new_idempotency_key(), 0)
+                .await;
+            if ![Status::MayHaveRun, Status::NotRun].contains(&record.status) {
+                passed_on.push((status, record));
+            }
+        }
+    }
+
+    assert!(passed_on.is_empty(), "{passed_on:#?}");
+}
+
 /// A truncated response is not a crash of the target, so it must not count against the request.
 #[actix_rt::test]
 async fn request_with_truncated_responses_is_not_quarantined() {
--- a/crates/stand/src/upstream/http.rs
+++ b/crates/stand/src/upstream/http.rs
@@ -91,7 +91,7 @@
     max_body_bytes: Option<usize>,
 ) -> io::Result<()> {
     let head = format!(
-        "HTTP/1.1 {status} X\r\n{extra_headers}content-length: {}\r\ncontent-type: application/json\r\n\r\n",
+        "HTTP/1.1 {status:03} X\r\n{extra_headers}content-length: {}\r\ncontent-type: application/json\r\n\r\n",
         body.len()
     );
     let sent = max_body_bytes.map_or(body, |max| &body[..max.min(body.len())]);
--- a/crates/stand/src/upstream/target.rs
+++ b/crates/stand/src/upstream/target.rs
@@ -41,6 +41,8 @@
     CutResponses,
     /// Sends two content-length headers with each response.
     TwoLengths,
+    /// Runs requests and answers with this status, in three digits or more.
+    Status(u16),
     /// Refuses every request without running it.
     Shed,
     /// Does not listen, so that connections are refused.
@@ -258,9 +260,15 @@
         _ => "",
     };
     let extra_headers = format!("x-request-id: {}\r\n{second_length}", request.id);
-    http::write_response(stream, 200, &extra_headers, &body, max_body_bytes).await?;
-    if max_body_bytes.is_some() {
-        return Err(io::Error::other("response truncated"));
+    let status = match fault {
+        Fault::Status(status) => status,
+        _ => 200,
+    };
+    http::write_response(stream, status, &extra_headers, &body, max_body_bytes).await?;
+    if max_body_bytes.is_some() || status != 200 {
+        return Err(io::Error::other(
+            "response truncated, or with another status",
+        ));
     }
     Ok(())
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,7 @@
 mod generated;
 pub mod header;
 mod revision;
+pub mod status;
 
 // The generated code names the hand-written types by the path of this crate.
 extern crate self as wire;
