stand: say that a target is down only when its listener is closed

Log of the VM: its connection to the target that is set to be down broke 2 ms after the request began (`exchange_broke`, `upstream-broke`), so that the claim stays, as it has to.

Cause: the stand-in answered the change at once, and closed its listener up to 10 ms later. A connection that came in between was accepted by the kernel and reset with the request sent, which is no refused connection: the request may have run. The test is about targets that refuse connections.

Change: the change is answered when the listener is closed. The test asks no less than before.

--- a/crates/stand/src/upstream/control.rs
+++ b/crates/stand/src/upstream/control.rs
@@ -55,7 +55,8 @@
     HttpResponse::Ok().json(json!({"sheds": shared.log.shed_count()}))
 }
 
-/// Changes every target whose name starts with the given prefix; returns their number.
+/// Changes every target whose name starts with the given prefix; returns their number when the change
+/// is in force.
 async fn set_behaviour(
     shared: web::Data<Shared>,
     prefix: web::Path<String>,
@@ -67,5 +68,8 @@
         target.set_behaviour(behaviour.0);
         changed += 1;
     }
+    for target in shared.targets.iter().filter(matches_prefix) {
+        target.wait_until_closed().await;
+    }
     HttpResponse::Ok().json(json!({"changed": changed}))
 }
--- a/crates/stand/src/upstream/target.rs
+++ b/crates/stand/src/upstream/target.rs
@@ -13,7 +13,7 @@
         net::SocketAddr,
         sync::{
             Arc, Mutex, PoisonError,
-            atomic::{AtomicU32, AtomicU64, Ordering},
+            atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
         },
         time::Duration,
     },
@@ -96,6 +96,8 @@
     /// Incremented by [`Fault::SilenceOpen`]; connections that were opened under a lower
     /// value get no more responses.
     silence_epoch: AtomicU64,
+    /// Whether the listener is open.
+    is_listening: AtomicBool,
     log: Arc<Log>,
 }
 
@@ -109,10 +111,19 @@
             incarnation: AtomicU64::new(0),
             down_until_ms: AtomicU64::new(0),
             silence_epoch: AtomicU64::new(0),
+            is_listening: AtomicBool::new(false),
             log,
         }
     }
 
+    /// Waits until connections are refused, if the target is set to [`Fault::Down`]. Before that, one
+    /// that is opened may be reset when the listener closes.
+    pub(crate) async fn wait_until_closed(&self) {
+        while self.behaviour().fault == Fault::Down && self.is_listening.load(Ordering::SeqCst) {
+            actix_web::rt::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
     pub(crate) fn behaviour(&self) -> Behaviour {
         *self
             .behaviour
@@ -154,6 +165,7 @@
 pub(crate) async fn serve(target: Arc<Target>) -> io::Result<()> {
     loop {
         let listener = TcpListener::bind(target.spec.address).await?;
+        target.is_listening.store(true, Ordering::SeqCst);
         loop {
             tokio::select! {
                 accepted = listener.accept() => {
@@ -166,6 +178,7 @@
             }
         }
         drop(listener);
+        target.is_listening.store(false, Ordering::SeqCst);
         while target.is_down() {
             actix_web::rt::time::sleep(POLL_INTERVAL).await;
         }
