Panic on no time that a configuration, a caller or a target states

Cause: `select_candidate` clamped the time to return between a quarter of the objective and 60 s; `f64::clamp` panics if its bounds cross.

Evidence: standard error of the VM in `vms extremes`, "min > max, or either was NaN. min = 75.0, max = 60.0", for each refusal.

Change: the later bound wins.

--- a/crates/balance/src/selection.rs
+++ b/crates/balance/src/selection.rs
@@ -191,10 +191,11 @@
         let retry_s = slot_wait_s.max(candidate.hold_s);
         shortest_wait_s = Some(shortest_wait_s.map_or(retry_s, |shortest| shortest.min(retry_s)));
     }
-    let retry_after_s = shortest_wait_s.unwrap_or(timing.objective_s).clamp(
-        policy.min_retry_after * timing.objective_s,
-        MAX_RETRY_AFTER_S,
-    );
+    // Not `clamp`, which panics if an objective is so long that the bounds cross.
+    let retry_after_s = shortest_wait_s
+        .unwrap_or(timing.objective_s)
+        .max(policy.min_retry_after * timing.objective_s)
+        .min(MAX_RETRY_AFTER_S);
     Selection::Refuse {
         retry_after: Duration::from_secs_f64(retry_after_s),
     }
--- a/crates/gateway/src/frontend/head.rs
+++ b/crates/gateway/src/frontend/head.rs
@@ -87,8 +87,8 @@
     };
     let text = value.to_str().map_err(|_| HeadError::Deadline)?;
     let timeout_ms: f64 = text.trim().parse().map_err(|_| HeadError::Deadline)?;
-    let timeout = Duration::try_from_secs_f64(timeout_ms / 1000.0);
-    timeout.map(Some).map_err(|_| HeadError::Deadline)
+    let timeout = route::parse_ms(timeout_ms);
+    timeout.map(Some).ok_or(HeadError::Deadline)
 }
 
 fn find_cookie(headers: &HeaderMap, name: &str) -> Option<String> {
