--- a/crates/gateway/src/http_client/mod.rs
+++ b/crates/gateway/src/http_client/mod.rs
@@ -2,6 +2,7 @@
 
 mod arriving;
 mod buffered;
+mod classify;
 mod client;
 mod connection;
 mod outcome;
@@ -11,12 +12,14 @@
 mod send;
 mod send_tracker;
 mod streamed;
+mod target_request;
 
 pub(crate) use arriving::Arriving;
 pub use client::Client;
 pub(crate) use outcome::{NotExecutedReason, Outcome, Reply, ResponseFault, TargetResponse};
 pub(crate) use request::{ClientRequest, ClientResponse};
 pub use response_body::{Incomplete, ResponseBody};
-pub(crate) use send::{Attempt, Reuse, TARGET_CONNECT_TIMEOUT, TargetRequest};
+pub(crate) use send::TARGET_CONNECT_TIMEOUT;
 pub(crate) use send_tracker::{Receiver, SendTracker};
 pub(crate) use streamed::{StreamEnd, has_memory_for_stream};
+pub(crate) use target_request::{Attempt, Reuse, TargetRequest};
--- a/crates/gateway/src/http_client/relay.rs
+++ b/crates/gateway/src/http_client/relay.rs
@@ -3,8 +3,9 @@
 use {
     super::{
         Arriving, Attempt, Client, NotExecutedReason, Outcome, Reply, ResponseFault, TargetRequest,
+        classify::{RawResponse, classify_response},
         outcome::{ANSWERED, TIMED_OUT},
-        send::{RawResponse, build_request_with_deadline, classify_response},
+        target_request::build_request_with_deadline,
     },
     crate::HeaderNames,
     balance::Feedback,
--- a/crates/gateway/src/http_client/send.rs
+++ b/crates/gateway/src/http_client/send.rs
@@ -1,27 +1,25 @@
-//! Sends one request to one target and classifies the response.
+//! Sends one request to one target, or to a VM that relays it, and receives the response.
 
 use {
     super::{
-        Arriving, Client, NotExecutedReason, Outcome, Reply, ResponseBody, ResponseFault,
-        TargetResponse,
+        Client, NotExecutedReason, Outcome, Reply, ResponseBody, ResponseFault,
         arriving::Rest,
         buffered::Buffered,
+        classify::{RawBody, RawResponse, check_head, classify_response},
         client::CheckIn,
         connection::Connection,
-        request::headers_length,
-        send_tracker::{Receiver, SendTracker, Transmission},
+        send_tracker::Transmission,
         streamed::is_streamed,
+        target_request::{Attempt, Reuse, TargetRequest, build_request},
     },
     crate::HeaderNames,
-    balance::{Feedback, Field},
     bytes::Bytes,
     http_body_util::Full,
     hyper::{
-        HeaderMap, Method, Request, Response, StatusCode, Uri,
+        HeaderMap, Request, Response,
         body::{Body as _, Incoming},
-        header::HeaderValue,
     },
-    std::{net::SocketAddr, rc::Rc, time::Duration},
+    std::{rc::Rc, time::Duration},
     tokio::time::Instant,
 };
 
@@ -33,66 +31,6 @@
 /// Idle timeout for targets that state none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// A caller's request as it is sent to targets, without hop-by-hop headers.
-#[derive(Debug)]
-pub(crate) struct TargetRequest {
-    pub(crate) method: Method,
-    pub(crate) uri: Uri,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
-    pub(crate) request_id: HeaderValue,
-}
-
-impl TargetRequest {
-    /// Returns the length of the request without its first line.
-    pub(crate) fn length(&self) -> usize {
-        headers_length(&self.headers) + self.body.len()
-    }
-}
-
-/// Destination and time limits of one send.
-pub(crate) struct Attempt<'a> {
-    pub(crate) target_id: &'a str,
-    /// Address of the target, or of the VM that the request is relayed through.
-    pub(crate) address: SocketAddr,
-    pub(crate) deadline: Instant,
-    pub(crate) connect_timeout: Duration,
-    /// On which connections the request may be sent.
-    pub(crate) reuse: Reuse,
-    pub(crate) receiver: Receiver,
-    /// Learns when the request is sent, and that it was not run.
-    pub(crate) tracker: &'a SendTracker,
-}
-
-/// On which connections a request may be sent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Reuse {
-    /// On any that is idle.
-    Any,
-    /// On one that was just in use, as the request may run once only.
-    Recent,
-    /// Only on one that is opened for it and closed after it, as the request may run once only.
-    Never,
-}
-
-/// A response that has not been checked.
-pub(super) struct RawResponse {
-    pub(super) status: StatusCode,
-    pub(super) headers: HeaderMap,
-    pub(super) body: RawBody,
-    /// The connection, unless the body holds it.
-    pub(super) connection: Option<Connection>,
-    pub(super) transmission: Transmission,
-}
-
-/// Body of a response that has not been checked.
-pub(super) enum RawBody {
-    /// It is complete, or streamed.
-    Ready(ResponseBody),
-    /// It states no length.
-    Arriving(Box<Rest>),
-}
-
 /// The head of a response, whose body follows on its connection.
 struct Started {
     response: Response<Incoming>,
@@ -327,108 +265,6 @@
     }
 }
 
-/// Builds the request with the remaining time and the identifier of the expected target.
-fn build_request(
-    header_names: &HeaderNames,
-    request: &TargetRequest,
-    attempt: &Attempt<'_>,
-) -> Request<Full<Bytes>> {
-    let mut http_request = build_request_with_deadline(header_names, request, attempt);
-    if let Ok(id) = HeaderValue::from_str(attempt.target_id) {
-        http_request
-            .headers_mut()
-            .insert(header_names.expect_target.clone(), id);
-    }
-    http_request
-}
-
-/// Builds the request with a header that states the remaining time in milliseconds.
-pub(super) fn build_request_with_deadline(
-    header_names: &HeaderNames,
-    request: &TargetRequest,
-    attempt: &Attempt<'_>,
-) -> Request<Full<Bytes>> {
-    let mut http_request = Request::new(Full::new(request.body.clone()));
-    *http_request.method_mut() = request.method.clone();
-    *http_request.uri_mut() = request.uri.clone();
-    *http_request.headers_mut() = request.headers.clone();
-    let time_left = attempt.deadline.saturating_duration_since(Instant::now());
-    let time_left_ms = HeaderValue::from(u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX));
-    http_request
-        .headers_mut()
-        .insert(header_names.deadline_ms.clone(), time_left_ms);
-    http_request
-}
-
-/// Classifies a response whose body was received, or goes on arriving.
-pub(super) fn classify_response(
-    header_names: &HeaderNames,
-    request: &TargetRequest,
-    raw: RawResponse,
-) -> Reply {
-    let feedback = match check_head(header_names, request, raw.status, &raw.headers) {
-        Ok(feedback) => feedback,
-        Err(outcome) => return Reply::Ended(outcome),
-    };
-    match raw.body {
-        RawBody::Ready(body) => Reply::Ended(Outcome::Answered(Box::new(TargetResponse {
-            status: raw.status,
-            headers: raw.headers,
-            body,
-            feedback,
-        }))),
-        RawBody::Arriving(rest) => Reply::Arriving(Box::new(Arriving {
-            status: raw.status,
-            headers: raw.headers,
-            feedback,
-            rest: *rest,
-            _transmission: raw.transmission,
-        })),
-    }
-}
-
-/// Checks the status, the request identifier, the statement of non-execution and the signature. Returns
-/// what the target states about itself, or the outcome if the response cannot be used.
-fn check_head(
-    header_names: &HeaderNames,
-    request: &TargetRequest,
-    status: StatusCode,
-    headers: &HeaderMap,
-) -> Result<Feedback, Outcome> {
-    if !wire::status::is_final(status.as_u16()) {
-        return Err(Outcome::Indeterminate(ResponseFault::Malformed));
-    }
-    let mut feedback = (header_names.feedback.decode)(headers);
-    // With another status the header does not concern this VM.
-    if status != StatusCode::SERVICE_UNAVAILABLE {
-        feedback.rest = Field::Absent;
-    }
-    let echoed_id = headers.get(&header_names.request_id);
-    if echoed_id.is_some_and(|echoed_id| *echoed_id != request.request_id) {
-        return Err(Outcome::Indeterminate(ResponseFault::RequestIdMismatch));
-    }
-    let states_not_executed = headers.contains_key(&header_names.not_executed);
-    if status == StatusCode::MISDIRECTED_REQUEST || states_not_executed {
-        let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
-        return Err(Outcome::NotExecuted {
-            reason: if is_misdirected {
-                NotExecutedReason::Misdirected
-            } else {
-                NotExecutedReason::Shed
-            },
-            // Another target may have sent a misdirected response.
-            feedback: (!is_misdirected).then_some(feedback),
-        });
-    }
-    if echoed_id.is_none() {
-        return Err(Outcome::Indeterminate(ResponseFault::RequestIdMismatch));
-    }
-    if status.is_success() && !headers.contains_key(&header_names.signature) {
-        return Err(Outcome::Indeterminate(ResponseFault::Unsigned));
-    }
-    Ok(feedback)
-}
-
 /// Returns the idle timeout that the `Keep-Alive` header states.
 fn parse_idle_timeout(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive").and_then(|v| v.to_str().ok());
