Count a crash of a target once against requests with the same content

All VMs then refuse each claim for that path, of any caller, with 503 `quarantined` for a minute.

Cause: what was counted were ended exchanges, not crashes: one crash counted once for each exchange that it ended, here and at other VMs, whose counts were added. Requests were told apart by route, method, path and body alone.

Evidence: `vms crashes`, both claims at one VM, or one at each of two: four of four claims after it refused; another customer's requests refused as well.

Change: an exchange that began before the count was raised last is not counted; the customer is part of what tells requests apart.

Why it works: the crash that ends such an exchange may be the counted one. A request that is sent again after a crash begins after it, and counts, so that a request which does crash its targets is refused as soon as before (`vms coordination`, unchanged).

--- a/crates/entry/src/peers/gossip.rs
+++ b/crates/entry/src/peers/gossip.rs
@@ -120,19 +120,25 @@
     join_all(exchanges).await;
 }
 
-/// Counts a suspected crash of the request's target and reports it to all peers before
-/// the request is processed further. Returns how long the request is quarantined from now
-/// on, or `None` if it may be sent.
-pub(crate) async fn report_crash(context: &Context, request: &Request) -> Option<Duration> {
+/// Counts a suspected crash of the request's target, which had it since `sent_at`, and reports it to
+/// all peers before the request is processed further. Returns how long the request is quarantined
+/// from now on, or `None` if it may be sent.
+pub(crate) async fn report_crash(
+    context: &Context,
+    request: &Request,
+    sent_at: Duration,
+) -> Option<Duration> {
     let node = &context.node;
     let now = node.now();
-    let count = node
+    let counted = node
         .state()
         .quarantine
-        .record_crash(&request.fingerprint, now);
-    log::warn!(event = "crash_noted", request = request.id.as_str(), count = count; "connection to the target broke before a response; counting it as a crash caused by the request");
-    let broadcast = broadcast_gossip(node, &context.clients);
-    let _ = actix_web::rt::time::timeout(CRASH_BROADCAST_TIMEOUT, broadcast).await;
+        .record_crash(&request.fingerprint, &(sent_at..now), now);
+    if let Some(count) = counted {
+        log::warn!(event = "crash_noted", request = request.id.as_str(), count = count; "connection to the target broke before a response; counting it as a crash caused by the request");
+        let broadcast = broadcast_gossip(node, &context.clients);
+        let _ = actix_web::rt::time::timeout(CRASH_BROADCAST_TIMEOUT, broadcast).await;
+    }
     let now = node.now();
     node.state()
         .quarantine
--- a/crates/entry/src/run/at_most_once.rs
+++ b/crates/entry/src/run/at_most_once.rs
@@ -127,6 +127,7 @@
             return Event::ConnectFailed;
         };
         let target_name = slot.target_name();
+        let sent_at = self.context.node.now();
         let remaining = self
             .request
             .deadline
@@ -149,7 +150,7 @@
             } => {
                 log::info!(event = "exchange_broke", request = self.request.id.as_str(), target = target_name.as_str(), reason:% = reason; "exchange with the target failed before the complete response");
                 if suspected_crash {
-                    peers::report_crash(self.context, self.request).await;
+                    peers::report_crash(self.context, self.request, sent_at).await;
                 }
                 Event::ExchangeFailed(reason)
             }
--- a/crates/entry/src/run/idempotent.rs
+++ b/crates/entry/src/run/idempotent.rs
@@ -57,6 +57,23 @@
     }
 }
 
+/// Where and since when an attempt is made.
+struct Destination {
+    target: usize,
+    target_name: String,
+    sent_at: Duration,
+}
+
+impl Destination {
+    fn new(context: &Context, slot: &Slot<'_>) -> Self {
+        Self {
+            target: slot.target(),
+            target_name: slot.target_name(),
+            sent_at: context.node.now(),
+        }
+    }
+}
+
 /// An attempt in progress.
 type Sending<'a> = Pin<&'a mut dyn Future<Output = SendResult>>;
 
@@ -75,40 +92,40 @@
         Ok(slot) => slot,
         Err((reason, retry_after)) => return request.refuse_unsent(reason, retry_after),
     };
-    let (target, target_name) = (slot.target(), slot.target_name());
+    let destination = Destination::new(context, &slot);
+    let target = destination.target;
     let time_alone = time_alone(context, &slot, request);
     let overdue = slot.overdue();
     let first = slot.send(request, remaining(context, request), false);
     let mut first = std::pin::pin!(first);
     let result = if let Ok(result) = timeout(time_alone, first.as_mut()).await {
-        match conclude(context, request, result, target_name).await {
+        match conclude(context, request, result, destination).await {
             Ok(response) => Ok(response),
             Err(failure) => retry(context, key, request, target, failure).await,
         }
     } else {
         overdue.set(true);
         suspend_reuse(context, key, target);
-        log::info!(event = "attempt_overdue", request = request.id.as_str(), target = target_name.as_str(); "target takes long; other targets are asked beside it");
-        retry_beside(context, key, request, target, (first, target_name)).await
+        log::info!(event = "attempt_overdue", request = request.id.as_str(), target = destination.target_name.as_str(); "target takes long; other targets are asked beside it");
+        retry_beside(context, key, request, destination, first).await
     };
     result.unwrap_or_else(Failure::into_refusal)
 }
 
-/// Retries a request while its first attempt goes on at `first_target`, and returns the response
-/// that is whole first.
+/// Retries a request while its first attempt goes on, and returns the response that is whole first.
 async fn retry_beside(
     context: &Context,
     key: &PoolKey,
     request: &Request,
-    first_target: usize,
-    (mut first, target_name): (Sending<'_>, String),
+    destination: Destination,
+    mut first: Sending<'_>,
 ) -> Result<Response, Failure> {
     let unanswered = Failure::of_attempt(Reason::UpstreamTimeout);
-    let others = retry(context, key, request, first_target, unanswered);
+    let others = retry(context, key, request, destination.target, unanswered);
     let mut others = std::pin::pin!(others);
     tokio::select! {
         biased;
-        result = first.as_mut() => match conclude(context, request, result, target_name).await {
+        result = first.as_mut() => match conclude(context, request, result, destination).await {
             Ok(response) => Ok(response),
             Err(_) => others.await,
         },
@@ -117,7 +134,7 @@
             Err(failure) => {
                 log::info!(event = "not_retried", request = request.id.as_str(), reason:% = failure.reason; "no other target has run the request; its first attempt goes on");
                 let result = first.await;
-                conclude(context, request, result, target_name).await
+                conclude(context, request, result, destination).await
             }
         },
     }
@@ -142,10 +159,10 @@
         let Ok(slot) = acquire_slot(context, key, request, Some(avoid_target)).await else {
             break;
         };
-        avoid_target = slot.target();
-        let target_name = slot.target_name();
+        let destination = Destination::new(context, &slot);
+        avoid_target = destination.target;
         let result = slot.send(request, remaining(context, request), true).await;
-        match conclude(context, request, result, target_name).await {
+        match conclude(context, request, result, destination).await {
             Ok(response) => return Ok(response),
             Err(newest) => failure = newest.after(&failure),
         }
@@ -161,8 +178,9 @@
     context: &Context,
     request: &Request,
     result: SendResult,
-    target_name: String,
+    destination: Destination,
 ) -> Result<Response, Failure> {
+    let target_name = destination.target_name;
     match result {
         SendResult::Answered {
             status,
@@ -179,7 +197,8 @@
         } => {
             log::info!(event = "exchange_broke", request = request.id.as_str(), target = target_name.as_str(), reason:% = reason; "exchange with the target failed before the complete response");
             if suspected_crash
-                && let Some(retry_after) = peers::report_crash(context, request).await
+                && let Some(retry_after) =
+                    peers::report_crash(context, request, destination.sent_at).await
             {
                 return Err(Failure {
                     reason: Reason::Quarantined,
--- a/crates/gateway/src/frontend/record.rs
+++ b/crates/gateway/src/frontend/record.rs
@@ -53,7 +53,8 @@
             let mut balancer = node.balancer.borrow_mut();
             balancer.record_rejection(&dispatch.target, None, now);
             if fault.may_be_crash() {
-                crate::peers::detect_crash(node, reservation.address, fingerprint);
+                let sent_at = dispatch.sent_at;
+                crate::peers::detect_crash(node, reservation.address, fingerprint, sent_at);
             }
         }
         Outcome::TimedOut => {}
@@ -171,7 +172,8 @@
             // The VM that relayed the request counts the crash, as it sees every target that
             // the request was sent to.
             if context.assignment.is_none() {
-                crate::peers::detect_crash(node, reservation.address, fingerprint);
+                let sent_at = dispatch.sent_at;
+                crate::peers::detect_crash(node, reservation.address, fingerprint, sent_at);
             }
         }
         Outcome::Indeterminate(_) => {
--- a/crates/gateway/src/frontend/serve.rs
+++ b/crates/gateway/src/frontend/serve.rs
@@ -245,8 +245,8 @@
     }
 }
 
-/// Returns a hash of the request's content without its identifier, so that a request that
-/// crashes targets is recognized when it is sent again.
+/// Returns a hash of the request's content and customer without its identifier, so that a request that
+/// crashes targets is recognized when its caller sends it again.
 pub(super) fn compute_fingerprint(
     context: &RequestContext,
     parts: &request::Parts,
@@ -257,5 +257,7 @@
     hash.update(parts.method.as_str().as_bytes());
     hash.update(parts.uri.to_string().as_bytes());
     hash.update(&body.bytes);
+    // Without a customer as before, so that VMs of earlier builds count the same requests.
+    hash.update(context.customer_name().as_bytes());
     format!("{:016x}", hash.digest())
 }
--- a/crates/gateway/src/peers/crash.rs
+++ b/crates/gateway/src/peers/crash.rs
@@ -19,11 +19,18 @@
 /// Number of counts that are given to another VM at a time.
 const MAX_TAKEN_OVER: usize = 256;
 
-/// Checks whether a target that dropped a connection still accepts connections. If not, it has
-/// crashed: the crash is counted against the request that it ran, and all VMs are notified.
-pub(crate) fn detect_crash(node: &Rc<Node>, address: SocketAddr, fingerprint: &str) {
+/// Checks whether a target that dropped the connection of an exchange still accepts connections. If not,
+/// it has crashed: the crash is counted against the request that it ran, and all VMs are notified.
+/// `sent_at` is when the exchange began.
+pub(crate) fn detect_crash(
+    node: &Rc<Node>,
+    address: SocketAddr,
+    fingerprint: &str,
+    sent_at: Duration,
+) {
     let node = node.clone();
     let fingerprint = fingerprint.to_owned();
+    let exchange = sent_at..node.now();
     tokio::task::spawn_local(async move {
         tokio::time::sleep(CHECK_DELAY).await;
         let connect = TcpStream::connect(address);
@@ -32,10 +39,15 @@
         if matches!(result, Ok(Ok(_))) || node.is_cut_off() {
             return;
         }
-        let count = node
+        let now = node.now();
+        let counted = node
             .quarantine
             .borrow_mut()
-            .record_crash(&fingerprint, node.now());
+            .record_crash(&fingerprint, &exchange, now);
+        let Some(count) = counted else {
+            log::info!(event = "crash_known", fingerprint = fingerprint.as_str(), address:% = address; "target crashed while it ran the request; the crash is counted already");
+            return;
+        };
         log::warn!(event = "crash_counted", fingerprint = fingerprint.as_str(), count = count, address:% = address; "target crashed while it ran the request");
         enqueue_report(&node, Crash { fingerprint, count });
         broadcast_ping(&node);
--- a/crates/rig/tests/answers.rs
+++ b/crates/rig/tests/answers.rs
@@ -3,7 +3,10 @@
 mod common;
 
 use {
-    common::{bib_request, claim_request, count_runs, new_idempotency_key, refund_request},
+    common::{
+        bib_request, claim_request, count_runs, new_idempotency_key, refund_request,
+        results_request,
+    },
     rig::{Audit, LoadGenerator, Options, Rig},
     stand::{
         caller::{Record, Request, Status},
@@ -210,6 +213,38 @@
     );
 }
 
+/// Guards against requests with one content that are refused as each of them counts the crash which another
+/// request has caused under them.
+#[actix_rt::test]
+async fn requests_beside_a_poison_request_are_not_quarantined() {
+    let rig = Rig::start(Options::default()).await.unwrap();
+    let busy = Behaviour {
+        service_ms: 300.0,
+        ..with_fault(Fault::None)
+    };
+    rig.set_target_behaviour("racegate", busy).await.unwrap();
+    let same = Request {
+        token: Some("same".to_owned()),
+        max_sends: 1,
+        ..claim_request()
+    };
+    let poison = Request {
+        path: "/results/poison".to_owned(),
+        ..results_request()
+    };
+
+    let load = LoadGenerator::start(rig.create_callers(12), &[same], PAUSE);
+    actix_rt::time::sleep(Duration::from_secs(1)).await;
+    rig.create_caller(0)
+        .send_to(&rig.vm_specs[0].caller_url(), &poison, "token", 0)
+        .await;
+    actix_rt::time::sleep(Duration::from_secs(2)).await;
+    let records = load.stop().await;
+
+    let quarantined = records.iter().filter(|r| r.reason == "quarantined");
+    assert_eq!(quarantined.count(), 0, "of {}", records.len());
+}
+
 #[actix_rt::test]
 async fn poison_claim_under_new_keys_crashes_at_most_two_targets() {
     let rig = Rig::start(Options::default()).await.unwrap();
--- a/crates/steer/src/quarantine.rs
+++ b/crates/steer/src/quarantine.rs
@@ -1,6 +1,9 @@
 //! Quarantine for requests that crash the targets that run them.
 
-use {std::time::Duration, wire::Map};
+use {
+    std::{ops::Range, time::Duration},
+    wire::Map,
+};
 
 /// Suspected crashes after which a request is refused.
 pub const QUARANTINE_CRASH_THRESHOLD: u32 = 2;
@@ -10,6 +13,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Record {
     count: u32,
+    /// When the exchange ended that raised the count last, or the count of another VM was heard.
+    raised_at: Duration,
     expires_at: Duration,
     /// Whether the request has been answered since its last crash here; the counts of other
     /// VMs are ignored then.
@@ -25,20 +30,33 @@
 }
 
 impl Quarantine {
-    /// Counts a suspected crash and returns the count, this one included.
-    pub fn record_crash(&mut self, fingerprint: &str, now: Duration) -> u32 {
+    /// Counts a suspected crash, seen by the end of an exchange. Returns the count, this one included, or
+    /// `None` if the exchange began before the count was raised last: one crash may end several
+    /// exchanges with the same content, at several VMs.
+    pub fn record_crash(
+        &mut self,
+        fingerprint: &str,
+        exchange: &Range<Duration>,
+        now: Duration,
+    ) -> Option<u32> {
         self.remove_expired(now);
+        let known = self.records.get(fingerprint);
+        if known.is_some_and(|record| record.count > 0 && exchange.start < record.raised_at) {
+            return None;
+        }
         let record = self
             .records
             .entry(fingerprint.to_owned())
             .or_insert(Record {
                 count: 0,
+                raised_at: now,
                 expires_at: now,
                 answered: false,
             });
         record.count += 1;
+        record.raised_at = exchange.end;
         record.expires_at = now + RETENTION;
-        record.count
+        Some(record.count)
     }
 
     /// Records a response, which clears the count: the request was only running on a target
@@ -60,6 +78,7 @@
         if count > known_count && !answered {
             let record = Record {
                 count,
+                raised_at: now,
                 expires_at: now + left,
                 answered: false,
             };
