Drop a slow body for another response only when that one is there

Found when the change was read.

Cause: a long response counts as answered from its head on, as its body is passed on while it arrives.

Change: the other response is used when its body is there, or as much as the memory for slow readers allows (`ResponseBody::arrive`); until then the first exchange goes on, and a response that is broken off replaces nothing.

Test: `body_that_stalls_at_another_target_does_not_replace_one_that_still_comes`, which fails before.

--- a/crates/gateway/src/frontend/beside.rs
+++ b/crates/gateway/src/frontend/beside.rs
@@ -23,8 +23,8 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Awaits a response that goes on arriving, and sends the request to other targets beside it. Returns
-/// the response that is whole first. A server error of another target is returned only if the first
-/// response does not become whole.
+/// the response that is whole first. A server error of another target, or a response that it breaks
+/// off, is returned only if the first response does not become whole.
 ///
 /// # Errors
 /// The [`Failure`] of the request if there is no response.
@@ -47,7 +47,9 @@
         let begins_after = pause;
         let others = async {
             tokio::time::sleep(begins_after).await;
-            try_targets(node, context, request, fingerprint, progress).await
+            let response = try_targets(node, context, request, fingerprint, progress).await?;
+            let is_whole = response.body.arrive().await;
+            Ok::<_, Failure>((response, is_whole))
         };
         // Boxed, as the response of another target may go on arriving as well.
         let mut others = Box::pin(others);
@@ -55,15 +57,15 @@
             biased;
             outcome = first.as_mut() => return match outcome {
                 Outcome::Answered(response) => Ok(*response),
-                _ => others.await,
+                _ => others.await.map(|(response, _)| response),
             },
             result = others.as_mut() => result,
         };
         match result {
-            Ok(response) if response.status.is_server_error() => {
+            Ok((response, is_whole)) if !is_whole || response.status.is_server_error() => {
                 return Ok(into_response(first.await).unwrap_or(response));
             }
-            Ok(response) => {
+            Ok((response, _)) => {
                 record_given_up(node, &first_context, &dispatch);
                 return Ok(response);
             }
--- a/crates/gateway/src/http_client/response_body.rs
+++ b/crates/gateway/src/http_client/response_body.rs
@@ -76,6 +76,15 @@
         matches!(self.content, Content::Streamed(_))
     }
 
+    /// Waits until the whole body is there, or as much of a streamed one as fits the memory for slow
+    /// receivers. Returns false if it was broken off.
+    pub(crate) async fn arrive(&self) -> bool {
+        match &self.content {
+            Content::Whole(_) => true,
+            Content::Streamed(streamed) => streamed.read_ahead().await,
+        }
+    }
+
     /// Adds a function that is called when a streamed body ends. For any other body, and for one
     /// that has ended, it is dropped.
     pub(crate) fn on_end(&mut self, on_end: impl FnOnce(StreamEnd) + 'static) {
--- a/crates/gateway/src/http_client/streamed.rs
+++ b/crates/gateway/src/http_client/streamed.rs
@@ -23,6 +23,8 @@
 const STREAM_BUFFER_BYTES: usize = 128 * 1024;
 /// Interval at which it is checked whether the receiver is slower than the sender.
 const READ_AHEAD_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval at which it is checked whether a body has arrived that its watchdog may be reading.
+const ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Bodies that are read ahead of slow receivers leave free this part of the memory of all bodies.
 const READ_AHEAD_DIVISOR: usize = 2;
 
@@ -210,16 +212,21 @@
             end_source(&source, StreamEnd::TimedOut);
             return;
         }
-        let read_ahead = std::future::poll_fn(|context| {
-            let mut source = source.borrow_mut();
-            let open = source.as_mut();
-            open.map_or(Poll::Ready(()), |open| open.poll_ahead(context))
-        });
         // Begun anew now and then, as the receiver may have taken the wake-up over.
-        let _ = tokio::time::timeout(READ_AHEAD_INTERVAL, read_ahead).await;
+        let _ = tokio::time::timeout(READ_AHEAD_INTERVAL, read_ahead_once(&source)).await;
     }
 }
 
+/// Reads ahead of the receiver until there is nothing more to do.
+async fn read_ahead_once(source: &Shared) {
+    let read = std::future::poll_fn(|context| {
+        let mut source = source.borrow_mut();
+        let open = source.as_mut();
+        open.map_or(Poll::Ready(()), |open| open.poll_ahead(context))
+    });
+    read.await;
+}
+
 impl Streamed {
     /// Creates a body that holds its connection until it has arrived, and ends at `deadline`.
     ///
@@ -290,6 +297,20 @@
         }
     }
 
+    /// Reads ahead of the receiver until the whole body is there, or the memory for slow receivers is
+    /// used up. Returns false if the body was broken off.
+    pub(super) async fn read_ahead(&self) -> bool {
+        loop {
+            let read = read_ahead_once(&self.source);
+            let is_done = tokio::time::timeout(ARRIVAL_CHECK_INTERVAL, read).await;
+            if is_done.is_ok() {
+                let source = self.source.borrow();
+                let arrival_end = source.as_ref().and_then(|open| open.arrival_end);
+                return source.is_some() && !matches!(arrival_end, Some(Err(_)));
+            }
+        }
+    }
+
     pub(super) fn poll_frame(
         &mut self,
         context: &mut Context<'_>,
