Names of the mend of slow bodies: partial responses, open exchanges, overdue bodies

Read as a newcomer would: `Arriving` and `Running` were no nouns, `beside` said nothing of its job, and two functions were called `await_overdue`. A body that is overdue already is not postponed when its VM is stopped.

--- a/crates/gateway/src/frontend/attempt.rs
+++ b/crates/gateway/src/frontend/attempt.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        exchange::{Exchange, Running},
+        exchange::{Exchange, OpenExchange},
+        overdue::body_overdue,
         record::{RelayedExchange, observe_body, record_outcome, record_relayed_exchange},
     },
     crate::{
@@ -13,7 +14,7 @@
         },
         node::{AVOID_TIME, Cause, QueueOwner, RequestContext, Reservation},
     },
-    balance::{Affinity, body_time, second_home::Advice},
+    balance::{Affinity, second_home::Advice},
     route::Kind,
     std::{net::SocketAddr, rc::Rc, time::Duration},
 };
@@ -21,9 +22,6 @@
 /// Number of VMs that are asked to relay a request, one after the other.
 const MAX_RELAYS: usize = 3;
 
-/// Interval at which it is checked whether a VM ends that owes a response whose body still comes.
-const END_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-
 /// Why an attempt sent nothing to its target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Refusal {
@@ -71,9 +69,9 @@
                 let outcome = observe_body(node, context, reservation, outcome);
                 return Ok(Exchange::Ended(outcome));
             }
-            RelayOutcome::Arriving(response) => {
-                let running = Running::new(response, reservation, Some(vm.name.clone()));
-                return Ok(Exchange::Running(Box::new(running)));
+            RelayOutcome::Partial(response) => {
+                let exchange = OpenExchange::new(response, reservation, Some(vm.name.clone()));
+                return Ok(Exchange::Open(Box::new(exchange)));
             }
             RelayOutcome::Full {
                 retry_after,
@@ -216,16 +214,15 @@
         .client
         .send_to_target(&node.header_names, request, &attempt);
     let reply = match sent.await {
-        Reply::Arriving(response) if may_send_again(context) => {
-            let overdue = await_overdue(node, context);
-            response.finish_unless(overdue).await
+        Reply::Partial(response) if may_send_again(context) => {
+            response.finish_unless(body_overdue(node, context)).await
         }
-        Reply::Arriving(response) => Reply::Ended(response.finish().await),
+        Reply::Partial(response) => Reply::Ended(response.finish().await),
         Reply::Ended(outcome) => Reply::Ended(outcome),
     };
     match reply {
-        Reply::Arriving(response) => {
-            Exchange::Running(Box::new(Running::new(response, reservation, None)))
+        Reply::Partial(response) => {
+            Exchange::Open(Box::new(OpenExchange::new(response, reservation, None)))
         }
         Reply::Ended(outcome) => {
             record_outcome(node, context, reservation, &outcome, fingerprint);
@@ -234,27 +231,6 @@
     }
 }
 
-/// Completes when a response whose body states no length is not awaited alone any longer: while there is
-/// time for another target, before the deadline or the end of a VM that owes the response.
-async fn await_overdue(node: &Rc<Node>, context: &RequestContext) {
-    let mut respond_by = None;
-    let mut overdue_at = None;
-    loop {
-        let now = node.now();
-        let newest = node.respond_by(context);
-        let at = match overdue_at {
-            Some(at) if newest == respond_by => at,
-            _ => now + body_time(node.time_left(context, now), context.route.objective),
-        };
-        let remaining = at.saturating_sub(now);
-        if remaining.is_zero() {
-            return;
-        }
-        (respond_by, overdue_at) = (newest, Some(at));
-        tokio::time::sleep(remaining.min(END_CHECK_INTERVAL)).await;
-    }
-}
-
 /// Returns whether the request may be sent to another target after this attempt, by this VM or the one
 /// that relayed it. A download may take long, so that it is awaited alone.
 fn may_send_again(context: &RequestContext) -> bool {
--- a/crates/gateway/src/frontend/exchange.rs
+++ b/crates/gateway/src/frontend/exchange.rs
@@ -6,7 +6,7 @@
     },
     crate::{
         Node,
-        http_client::{Arriving, Outcome, has_memory_for_stream},
+        http_client::{Outcome, PartialResponse, has_memory_for_stream},
         node::{RequestContext, Reservation, duration_ms},
     },
     balance::Dispatch,
@@ -17,7 +17,7 @@
 pub(super) enum Exchange {
     Ended(Outcome),
     /// Its response goes on arriving when the request may be sent to another target.
-    Running(Box<Running>),
+    Open(Box<OpenExchange>),
 }
 
 impl Exchange {
@@ -30,23 +30,23 @@
     ) -> Outcome {
         match self {
             Self::Ended(outcome) => outcome,
-            Self::Running(running) => running.finish(node, context, fingerprint).await,
+            Self::Open(exchange) => exchange.finish(node, context, fingerprint).await,
         }
     }
 }
 
 /// An exchange whose response goes on arriving. Dropping it closes its connection.
-pub(super) struct Running {
-    response: Box<Arriving>,
+pub(super) struct OpenExchange {
+    response: Box<PartialResponse>,
     /// The request counts as in flight at its target.
     reservation: Rc<Reservation>,
     /// Name of the VM that relays the response; `None` if it comes from the target itself.
     through: Option<String>,
 }
 
-impl Running {
+impl OpenExchange {
     pub(super) fn new(
-        response: Box<Arriving>,
+        response: Box<PartialResponse>,
         reservation: &Rc<Reservation>,
         through: Option<String>,
     ) -> Self {
--- a/crates/gateway/src/frontend/mod.rs
+++ b/crates/gateway/src/frontend/mod.rs
@@ -1,7 +1,6 @@
 //! HTTP server for callers and for requests relayed by other VMs.
 
 mod attempt;
-mod beside;
 mod body;
 mod departure;
 mod exchange;
@@ -9,6 +8,7 @@
 mod hedge;
 mod identity;
 mod in_flight;
+mod overdue;
 mod progress;
 mod quota;
 mod record;
--- a/crates/gateway/src/frontend/beside.rs
+++ b/crates/gateway/src/frontend/overdue.rs
@@ -1,12 +1,12 @@
-//! Sends a request to other targets while the response of an earlier one goes on arriving.
+//! Bodies without a length that are overdue: other targets are asked while the body goes on arriving.
 //!
-//! A body that states no length may have no end, so that other targets are asked while there is time.
+//! A body that states no length may have no end, so that others are asked while there is time.
 //! The exchange with a target that is at work ends only when another response is whole. See
 //! docs/PLATFORM.md, "Bodies without a length".
 
 use {
     super::{
-        exchange::Running,
+        exchange::OpenExchange,
         progress::{Failure, Progress},
         retry::try_targets,
     },
@@ -15,13 +15,36 @@
         http_client::{Outcome, TargetRequest, TargetResponse},
         node::RequestContext,
     },
-    balance::Dispatch,
+    balance::{Dispatch, body_time},
     std::{rc::Rc, time::Duration},
 };
 
+/// Interval at which it is checked whether a VM ends that owes a response whose body still comes.
+const END_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Time after which other targets are asked again if none has taken the request.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Completes when a response whose body states no length is not awaited alone any longer: while there is
+/// time for another target, before the deadline or the end of a VM that owes the response.
+pub(super) async fn body_overdue(node: &Rc<Node>, context: &RequestContext) {
+    let mut respond_by = None;
+    let mut overdue_at = Duration::MAX;
+    loop {
+        let now = node.now();
+        let newest = node.respond_by(context);
+        if overdue_at == Duration::MAX || newest != respond_by {
+            let time_alone = body_time(node.time_left(context, now), context.route.objective);
+            overdue_at = overdue_at.min(now + time_alone);
+            respond_by = newest;
+        }
+        let remaining = overdue_at.saturating_sub(now);
+        if remaining.is_zero() {
+            return;
+        }
+        tokio::time::sleep(remaining.min(END_CHECK_INTERVAL)).await;
+    }
+}
+
 /// Awaits a response that goes on arriving, and sends the request to other targets beside it. Returns
 /// the response that is whole first. A server error of another target, or a response that it breaks
 /// off, is returned only if the first response does not become whole.
@@ -34,14 +57,14 @@
     request: &TargetRequest,
     fingerprint: &str,
     progress: &mut Progress,
-    running: Running,
+    exchange: OpenExchange,
 ) -> Result<TargetResponse, Failure> {
-    running.report_overdue(node, context);
-    progress.record_running();
-    let dispatch = running.dispatch().clone();
+    exchange.report_overdue(node, context);
+    progress.record_open_exchange();
+    let dispatch = exchange.dispatch().clone();
     // Cloned, as the attempts at other targets change the context.
     let first_context = context.clone();
-    let mut first = std::pin::pin!(running.finish(node, &first_context, fingerprint));
+    let mut first = std::pin::pin!(exchange.finish(node, &first_context, fingerprint));
     let mut pause = Duration::ZERO;
     while progress.may_send_again(context) {
         let begins_after = pause;
--- a/crates/gateway/src/frontend/progress.rs
+++ b/crates/gateway/src/frontend/progress.rs
@@ -120,7 +120,7 @@
     }
 
     /// Records that a target is at work on the request, whose response may not become whole.
-    pub(super) fn record_running(&mut self) {
+    pub(super) fn record_open_exchange(&mut self) {
         self.attempts += 1;
         self.indeterminate_reason = Some("broken");
     }
--- a/crates/gateway/src/frontend/relayed.rs
+++ b/crates/gateway/src/frontend/relayed.rs
@@ -296,7 +296,7 @@
     drop(reservation);
     let (outcome, running_time) = match exchange {
         Exchange::Ended(outcome) => (outcome, Some(node.now().saturating_sub(dispatch.sent_at))),
-        Exchange::Running(running) => (running.pass_on(node, context, fingerprint).await, None),
+        Exchange::Open(exchange) => (exchange.pass_on(node, context, fingerprint).await, None),
     };
     let feedback = Feedback {
         load: load_report(node, &dispatch.target),
--- a/crates/gateway/src/frontend/retry.rs
+++ b/crates/gateway/src/frontend/retry.rs
@@ -3,9 +3,9 @@
 use {
     super::{
         attempt::Refusal,
-        beside::await_first_whole,
         exchange::Exchange,
         hedge::attempt_with_copy,
+        overdue::await_first_whole,
         progress::{Failure, Progress},
         response::{HttpResponse, text_response, unavailable_response},
     },
@@ -112,8 +112,8 @@
                 progress.record_full(context.route.objective)?;
             }
             Err(Refusal::Full(retry_after)) => progress.record_full(retry_after)?,
-            Ok(Exchange::Running(running)) => {
-                return await_first_whole(node, context, request, fingerprint, progress, *running)
+            Ok(Exchange::Open(exchange)) => {
+                return await_first_whole(node, context, request, fingerprint, progress, *exchange)
                     .await;
             }
             Ok(Exchange::Ended(outcome)) => {
--- a/crates/gateway/src/http_client/classify.rs
+++ b/crates/gateway/src/http_client/classify.rs
@@ -2,8 +2,9 @@
 
 use {
     super::{
-        Arriving, NotExecutedReason, Outcome, Reply, ResponseBody, ResponseFault, TargetRequest,
-        TargetResponse, arriving::Rest, connection::Connection, send_tracker::Transmission,
+        NotExecutedReason, Outcome, PartialResponse, Reply, ResponseBody, ResponseFault,
+        TargetRequest, TargetResponse, connection::Connection, partial_response::Rest,
+        send_tracker::Transmission,
     },
     crate::HeaderNames,
     balance::{Feedback, Field},
@@ -25,7 +26,7 @@
     /// It is complete, or streamed.
     Ready(ResponseBody),
     /// It states no length.
-    Arriving(Box<Rest>),
+    Partial(Box<Rest>),
 }
 
 /// Classifies a response whose body was received, or goes on arriving.
@@ -45,7 +46,7 @@
             body,
             feedback,
         }))),
-        RawBody::Arriving(rest) => Reply::Arriving(Box::new(Arriving {
+        RawBody::Partial(rest) => Reply::Partial(Box::new(PartialResponse {
             status: raw.status,
             headers: raw.headers,
             feedback,
--- a/crates/gateway/src/http_client/mod.rs
+++ b/crates/gateway/src/http_client/mod.rs
@@ -1,11 +1,11 @@
 //! HTTP client for requests to targets, the platform's store and other VMs.
 
-mod arriving;
 mod buffered;
 mod classify;
 mod client;
 mod connection;
 mod outcome;
+mod partial_response;
 pub(crate) mod relay;
 mod request;
 mod response_body;
@@ -14,9 +14,9 @@
 mod streamed;
 mod target_request;
 
-pub(crate) use arriving::Arriving;
 pub use client::Client;
 pub(crate) use outcome::{NotExecutedReason, Outcome, Reply, ResponseFault, TargetResponse};
+pub(crate) use partial_response::PartialResponse;
 pub(crate) use request::{ClientRequest, ClientResponse};
 pub use response_body::{Incomplete, ResponseBody};
 pub(crate) use send::TARGET_CONNECT_TIMEOUT;
--- a/crates/gateway/src/http_client/outcome.rs
+++ b/crates/gateway/src/http_client/outcome.rs
@@ -1,7 +1,7 @@
 //! Outcome of sending one request to one target.
 
 use {
-    super::{Arriving, ResponseBody, request::headers_length},
+    super::{PartialResponse, ResponseBody, request::headers_length},
     balance::Feedback,
     hyper::{HeaderMap, StatusCode, body::Body},
     std::fmt,
@@ -84,7 +84,7 @@
 pub(crate) enum Reply {
     Ended(Outcome),
     /// The body of the response states no length, and goes on arriving.
-    Arriving(Box<Arriving>),
+    Partial(Box<PartialResponse>),
 }
 
 impl Outcome {
--- a/crates/gateway/src/http_client/arriving.rs
+++ b/crates/gateway/src/http_client/partial_response.rs
@@ -13,7 +13,7 @@
 
 /// A response with a valid head, and the part of its body that has arrived. The target is at work on
 /// the rest.
-pub(crate) struct Arriving {
+pub(crate) struct PartialResponse {
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
     pub(super) feedback: Feedback,
@@ -31,7 +31,7 @@
     pub(super) deadline: Instant,
 }
 
-impl Arriving {
+impl PartialResponse {
     /// Returns how much of the body has arrived.
     pub(crate) fn arrived_bytes(&self) -> usize {
         self.rest.body.arrived_bytes()
@@ -42,7 +42,7 @@
         let read = tokio::select! {
             biased;
             read = self.rest.body.read_to_end() => read,
-            _ = overdue => return Reply::Arriving(self),
+            _ = overdue => return Reply::Partial(self),
         };
         Reply::Ended(self.into_outcome(read))
     }
@@ -86,9 +86,9 @@
     }
 }
 
-impl fmt::Debug for Arriving {
+impl fmt::Debug for PartialResponse {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Arriving")
+        f.debug_struct("PartialResponse")
             .field("status", &self.status)
             .field("arrived_bytes", &self.arrived_bytes())
             .finish_non_exhaustive()
--- a/crates/gateway/src/http_client/relay.rs
+++ b/crates/gateway/src/http_client/relay.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        Arriving, Attempt, Client, NotExecutedReason, Outcome, Reply, ResponseFault, TargetRequest,
+        Attempt, Client, NotExecutedReason, Outcome, PartialResponse, Reply, ResponseFault,
+        TargetRequest,
         classify::{RawResponse, classify_response},
         outcome::{ANSWERED, TIMED_OUT},
         target_request::build_request_with_deadline,
@@ -141,7 +142,7 @@
         running_time: Option<Duration>,
     },
     /// The response goes on arriving, although the VM has awaited it for a while.
-    Arriving(Box<Arriving>),
+    Partial(Box<PartialResponse>),
     /// The target has no room before the deadline; the request was not sent.
     Full {
         retry_after: Duration,
@@ -265,7 +266,7 @@
         }
         ANSWERED => match classify_response(header_names, request, raw) {
             Reply::Ended(outcome) => outcome,
-            Reply::Arriving(arriving) => return RelayOutcome::Arriving(arriving),
+            Reply::Partial(response) => return RelayOutcome::Partial(response),
         },
         TIMED_OUT => Outcome::TimedOut,
         text => match NotExecutedReason::parse(text) {
--- a/crates/gateway/src/http_client/response_body.rs
+++ b/crates/gateway/src/http_client/response_body.rs
@@ -2,9 +2,9 @@
 
 use {
     super::{
-        arriving::Rest,
         client::CheckIn,
         connection::Connection,
+        partial_response::Rest,
         streamed::{StreamEnd, Streamed},
     },
     crate::{
--- a/crates/gateway/src/http_client/send.rs
+++ b/crates/gateway/src/http_client/send.rs
@@ -3,11 +3,11 @@
 use {
     super::{
         Client, NotExecutedReason, Outcome, Reply, ResponseBody, ResponseFault,
-        arriving::Rest,
         buffered::Buffered,
         classify::{RawBody, RawResponse, check_head, classify_response},
         client::CheckIn,
         connection::Connection,
+        partial_response::Rest,
         send_tracker::Transmission,
         streamed::is_streamed,
         target_request::{Attempt, Reuse, TargetRequest, build_request},
@@ -210,7 +210,7 @@
                 check_in: self.check_in_for(attempt, &parts.headers),
                 deadline: attempt.deadline,
             };
-            (RawBody::Arriving(Box::new(rest)), None)
+            (RawBody::Partial(Box::new(rest)), None)
         };
         Ok(RawResponse {
             status: parts.status,
--- a/crates/gateway/src/http_client/streamed.rs
+++ b/crates/gateway/src/http_client/streamed.rs
@@ -1,7 +1,9 @@
 //! A body that is passed on while it arrives.
 
 use {
-    super::{arriving::Rest, client::CheckIn, connection::Connection, response_body::Incomplete},
+    super::{
+        client::CheckIn, connection::Connection, partial_response::Rest, response_body::Incomplete,
+    },
     crate::memory::{MemoryBudget, MemoryReservation, OutOfMemory},
     bytes::Bytes,
     hyper::body::{Body, Frame, Incoming},
