--- /dev/null
+++ b/review/stand-3/target.rs
@@ -0,0 +1,363 @@
+//! Stand-in for a target ("server" on the users' pages).
+
+use {
+    crate::{
+        http::{self, Message},
+        store::Store,
+        world::Record,
+    },
+    std::{
+        collections::HashMap,
+        io::{BufReader, Write},
+        net::{SocketAddr, TcpListener, TcpStream},
+        sync::{
+            Arc, Condvar, Mutex,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        thread,
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    },
+};
+
+/// Interval of the liveness reports (`heartbeat_ms`).
+pub const BEAT: Duration = Duration::from_millis(1500);
+const POLL: Duration = Duration::from_millis(5);
+
+/// What a target does with a request that names it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reaction {
+    Run,
+    /// It crashes as soon as it begins to run the request.
+    Crash,
+    /// 503 with `X-Not-Executed` and `Retry-After`.
+    Rest { seconds: u32 },
+}
+
+type React = Arc<dyn Fn(&Message) -> Reaction + Send + Sync>;
+
+#[derive(Clone)]
+pub struct Spec {
+    pub name: String,
+    pub service: String,
+    pub zone: String,
+    pub address: SocketAddr,
+    pub slots: usize,
+    pub work: Duration,
+    pub react: React,
+    /// Time after a crash until the target is back.
+    pub down: Duration,
+    /// Whether it starts again under the identifier that it had.
+    pub keeps_id: bool,
+    /// Time for which it is cold after a start, the first one aside (`warmup_s`).
+    pub cold: Duration,
+    /// Its entry is written again so long after the store is back, if it has expired meanwhile.
+    pub back_after: Duration,
+}
+
+/// A request that reached a target and was not answered 421.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    pub at: Instant,
+    pub target: String,
+    pub id: String,
+    pub path: String,
+    pub reaction: Reaction,
+    pub is_cold: bool,
+    pub peer: SocketAddr,
+}
+
+#[derive(Default)]
+struct Load {
+    running: usize,
+    waiting: usize,
+}
+
+/// One boot of a target.
+struct Boot {
+    id: String,
+    born_ms: u128,
+    cold_until: Instant,
+    is_over: AtomicBool,
+    load: Mutex<Load>,
+    freed: Condvar,
+    streams: Mutex<HashMap<u64, TcpStream>>,
+    next_stream: AtomicU64,
+    /// Time until which the target wants nothing, if it rests.
+    pub sequence: AtomicU64,
+}
+
+pub struct Target {
+    spec: Spec,
+    arrivals: Arc<Mutex<Vec<Arrival>>>,
+    record: Record,
+    store: Store,
+    is_stopped: Arc<AtomicBool>,
+    boot: Mutex<Option<Arc<Boot>>>,
+}
+
+impl Target {
+    pub fn start(
+        spec: Spec,
+        store: &Store,
+        arrivals: &Arc<Mutex<Vec<Arrival>>>,
+        record: &Record,
+    ) -> Arc<Self> {
+        let target = Arc::new(Self {
+            spec,
+            arrivals: arrivals.clone(),
+            record: record.clone(),
+            store: store.clone(),
+            is_stopped: Arc::default(),
+            boot: Mutex::default(),
+        });
+        let running = target.clone();
+        thread::spawn(move || running.run());
+        target
+    }
+
+    /// Crashes the target; it comes back after the time that its specification states.
+    pub fn crash(&self) {
+        if let Some(boot) = self.boot.lock().unwrap().as_ref() {
+            boot.end();
+        }
+    }
+
+    pub fn stop(&self) {
+        self.is_stopped.store(true, Ordering::SeqCst);
+        self.crash();
+    }
+
+    fn run(self: &Arc<Self>) {
+        for number in 1.. {
+            if self.is_stopped.load(Ordering::SeqCst) {
+                return;
+            }
+            let listener = loop {
+                match TcpListener::bind(self.spec.address) {
+                    Ok(listener) => break listener,
+                    Err(_) => thread::sleep(POLL),
+                }
+            };
+            let suffix = if self.spec.keeps_id { 1 } else { number };
+            let cold = if number == 1 { Duration::ZERO } else { self.spec.cold };
+            let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+            let boot = Arc::new(Boot {
+                id: format!("i-{}-{suffix}", self.spec.name),
+                born_ms: since_epoch.as_millis(),
+                cold_until: Instant::now() + cold,
+                is_over: AtomicBool::new(false),
+                load: Mutex::default(),
+                freed: Condvar::new(),
+                streams: Mutex::default(),
+                next_stream: AtomicU64::new(0),
+                sequence: AtomicU64::new(0),
+            });
+            self.record.line(&format!("target {} starts as {}", self.spec.name, boot.id));
+            *self.boot.lock().unwrap() = Some(boot.clone());
+            let (reporting, reported) = (self.clone(), boot.clone());
+            thread::spawn(move || reporting.report(&reported));
+            listener.set_nonblocking(true).expect("non-blocking listener");
+            while !boot.is_over.load(Ordering::SeqCst) {
+                match listener.accept() {
+                    Ok((stream, peer)) => {
+                        let (target, boot) = (self.clone(), boot.clone());
+                        thread::spawn(move || target.serve(&boot, stream, peer));
+                    }
+                    Err(_) => thread::sleep(POLL),
+                }
+            }
+            drop(listener);
+            boot.close_streams();
+            self.record.line(&format!("target {} has crashed", boot.id));
+            thread::sleep(self.spec.down);
+        }
+    }
+
+    /// Keeps the entry of a boot in the store: written at the start, renewed by the beats, expired
+    /// after three beats of silence, and written again when the store is back.
+    fn report(&self, boot: &Boot) {
+        let entry = || {
+            let warmup = boot.cold_until.saturating_duration_since(Instant::now()).as_millis();
+            let sequence = boot.sequence.fetch_add(1, Ordering::SeqCst);
+            let spec = &self.spec;
+            format!(
+                r#"{{"address":"{}","info":{{"service":"{}","version":"v1","zone":"{}","slots":{}}},"status":{{"state":"ready","sequence":{sequence},"warmup_left_ms":{warmup}}},"born":{}}}"#,
+                spec.address, spec.service, spec.zone, spec.slots, boot.born_ms
+            )
+        };
+        let is_over = || boot.is_over.load(Ordering::SeqCst);
+        while !is_over() && !self.store.put("servers", &boot.id, Some(&entry())) {
+            thread::sleep(Duration::from_millis(200));
+        }
+        self.record.line(&format!("entry of {} written", boot.id));
+        let mut last_beat = Instant::now();
+        let (mut has_expired, mut was_away) = (false, false);
+        while !is_over() {
+            thread::sleep(POLL);
+            if self.store.is_up() {
+                if was_away {
+                    // The reports reach the store again a while after it is back.
+                    thread::sleep(self.spec.back_after);
+                }
+                was_away = false;
+                last_beat = Instant::now();
+                if has_expired && self.store.put("servers", &boot.id, Some(&entry())) {
+                    has_expired = false;
+                    self.record.line(&format!("entry of {} written again", boot.id));
+                }
+                continue;
+            }
+            was_away = true;
+            if !has_expired && last_beat.elapsed() >= BEAT * 3 {
+                self.store.expire("servers", &boot.id);
+                has_expired = true;
+                self.record.line(&format!("entry of {} expired", boot.id));
+            }
+        }
+        // After a crash the entry goes after three beats of silence.
+        let id = boot.id.clone();
+        let is_reused = self.spec.keeps_id;
+        thread::sleep(BEAT * 3);
+        if !is_reused && !self.is_stopped.load(Ordering::SeqCst) {
+            self.store.expire("servers", &id);
+        }
+    }
+
+    fn serve(&self, boot: &Arc<Boot>, stream: TcpStream, peer: SocketAddr) {
+        let number = boot.next_stream.fetch_add(1, Ordering::SeqCst);
+        let (Ok(reader), Ok(kept)) = (stream.try_clone(), stream.try_clone()) else { return };
+        boot.streams.lock().unwrap().insert(number, kept);
+        let _ = stream.set_nonblocking(false);
+        let _ = stream.set_nodelay(true);
+        let mut stream = stream;
+        let mut reader = BufReader::new(reader);
+        while let Ok(Some(request)) = http::read(&mut reader) {
+            if boot.is_over.load(Ordering::SeqCst) {
+                break;
+            }
+            let Some(answer) = self.handle(boot, &request, &stream, peer) else { break };
+            if stream.write_all(&answer.bytes()).is_err() {
+                break;
+            }
+        }
+        let _ = stream.shutdown(std::net::Shutdown::Both);
+        boot.streams.lock().unwrap().remove(&number);
+    }
+
+    /// Returns the answer, or `None` if the connection ends without one.
+    fn handle(
+        &self,
+        boot: &Arc<Boot>,
+        request: &Message,
+        stream: &TcpStream,
+        peer: SocketAddr,
+    ) -> Option<Message> {
+        let id = request.header("x-request-id").unwrap_or_default().to_owned();
+        let now = Instant::now();
+        let cold_ms = boot.cold_until.saturating_duration_since(now).as_millis().to_string();
+        if request.path() == "/health" {
+            let headers = [("X-Instance-Id", boot.id.as_str()), ("X-Warmup-Ms", &cold_ms)];
+            return Some(Message::new("HTTP/1.1 200 OK", &headers, b""));
+        }
+        if request.header("x-expect-instance").is_some_and(|expected| expected != boot.id) {
+            let headers = [("X-Instance-Id", boot.id.as_str()), ("X-Request-Id", &id)];
+            return Some(Message::new("HTTP/1.1 421 Misdirected Request", &headers, b""));
+        }
+        let reaction = (self.spec.react)(request);
+        self.arrivals.lock().unwrap().push(Arrival {
+            at: now,
+            target: boot.id.clone(),
+            id: id.clone(),
+            path: request.path().to_owned(),
+            reaction,
+            is_cold: now < boot.cold_until,
+            peer,
+        });
+        match reaction {
+            Reaction::Rest { seconds } => {
+                let seconds = seconds.to_string();
+                let headers =
+                    [("X-Not-Executed", "1"), ("X-Request-Id", &id), ("Retry-After", &seconds)];
+                return Some(Message::new("HTTP/1.1 503 Service Unavailable", &headers, b""));
+            }
+            Reaction::Crash => {
+                boot.end();
+                boot.close_streams();
+                return None;
+            }
+            Reaction::Run => {}
+        }
+        if !boot.enter(self.spec.slots) {
+            let headers = [("X-Not-Executed", "1"), ("X-Request-Id", id.as_str())];
+            return Some(Message::new("HTTP/1.1 503 Service Unavailable", &headers, b""));
+        }
+        let work = if now < boot.cold_until { self.spec.work * 2 } else { self.spec.work };
+        let is_done = boot.work(work, stream);
+        let load = boot.leave(self.spec.slots);
+        if !is_done {
+            return None;
+        }
+        let seal = format!("seal-{id}");
+        let headers = [
+            ("X-Request-Id", id.as_str()),
+            ("X-Response-Seal", &seal),
+            ("X-Server-Load", &load),
+            ("Keep-Alive", "timeout=10"),
+        ];
+        let body = format!("answer to {id}");
+        Some(Message::new("HTTP/1.1 200 OK", &headers, body.as_bytes()))
+    }
+}
+
+impl Boot {
+    fn end(&self) {
+        self.is_over.store(true, Ordering::SeqCst);
+        self.freed.notify_all();
+    }
+
+    fn close_streams(&self) {
+        for stream in self.streams.lock().unwrap().values() {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
+    /// Waits for a slot. Returns false if the queue is full or the boot is over.
+    fn enter(&self, slots: usize) -> bool {
+        let mut load = self.load.lock().unwrap();
+        if load.running >= slots && load.waiting >= 3 * slots {
+            return false;
+        }
+        load.waiting += 1;
+        while load.running >= slots && !self.is_over.load(Ordering::SeqCst) {
+            load = self.freed.wait_timeout(load, POLL).unwrap().0;
+        }
+        load.waiting -= 1;
+        load.running += 1;
+        !self.is_over.load(Ordering::SeqCst)
+    }
+
+    /// Frees the slot and returns the load for `X-Server-Load`.
+    fn leave(&self, slots: usize) -> String {
+        let mut load = self.load.lock().unwrap();
+        load.running -= 1;
+        self.freed.notify_one();
+        format!("{},{},{slots}", load.running, load.waiting)
+    }
+
+    /// Works for a time. Returns false if the caller leaves or the boot ends before.
+    fn work(&self, time: Duration, stream: &TcpStream) -> bool {
+        let until = Instant::now() + time;
+        let _ = stream.set_read_timeout(Some(POLL));
+        let mut is_open = true;
+        while is_open && Instant::now() < until && !self.is_over.load(Ordering::SeqCst) {
+            let step = POLL.min(until.saturating_duration_since(Instant::now()));
+            match stream.peek(&mut [0]) {
+                Ok(0) => is_open = false,
+                Ok(_) => thread::sleep(step),
+                Err(_) => {}
+            }
+        }
+        let _ = stream.set_read_timeout(None);
+        is_open && !self.is_over.load(Ordering::SeqCst)
+    }
+}
