--- a/review/stand-3/cold.rs
+++ b/review/stand-3/cold.rs
@@ -42,7 +42,11 @@
         timeout_ms: 4000,
         slo_ms: 600,
     }];
-    world.store.put("op", "config", Some(&config(7, &routes, &["bibdesk"], WARMUP_PER_S)));
+    world.store.put(
+        "op",
+        "config",
+        Some(&config(7, &routes, &["bibdesk"], WARMUP_PER_S)),
+    );
     for number in 0..TARGETS {
         let address = world.target_address(number);
         world.add_target(Spec {
@@ -78,7 +82,10 @@
                     let (path, id) = (format!("/bib/{object}"), format!("lookup-{number}"));
                     let message = request("GET", &path, &id, &object, 4000, b"");
                     let answer = http::send(front, &message, Duration::from_secs(5));
-                    good.fetch_add(u32::from(answer.is_ok_and(|a| a.status() == 200)), Ordering::SeqCst);
+                    good.fetch_add(
+                        u32::from(answer.is_ok_and(|a| a.status() == 200)),
+                        Ordering::SeqCst,
+                    );
                     thread::sleep(PACE);
                 }
             })
@@ -112,12 +119,22 @@
     let cold: Vec<&Arrival> = arrivals.iter().filter(|a| a.is_cold).collect();
     for arrival in &cold {
         let at = record.seconds(arrival.at);
-        record.line(&format!("{} reached {} at {at:.3} s while it was cold", arrival.id, arrival.target));
+        record.line(&format!(
+            "{} reached {} at {at:.3} s while it was cold",
+            arrival.id, arrival.target
+        ));
     }
     let most = most_in_a_second(&cold);
     let bound = WARMUP_PER_S * WARMUP_FACTOR + WARMUP_SLACK;
-    record.say(&format!("cold targets got {} requests, {most} in one second at most; {bound:.1} are allowed", cold.len()));
-    if f64::from(most) > bound { End::Broken } else { End::Held }
+    record.say(&format!(
+        "cold targets got {} requests, {most} in one second at most; {bound:.1} are allowed",
+        cold.len()
+    ));
+    if f64::from(most) > bound {
+        End::Broken
+    } else {
+        End::Held
+    }
 }
 
 /// Returns the most requests that one target got in any second.
@@ -125,9 +142,7 @@
     let mut most = 0;
     for first in arrivals {
         let in_second = arrivals.iter().filter(|a| {
-            a.target == first.target
-                && a.at >= first.at
-                && a.at < first.at + Duration::from_secs(1)
+            a.target == first.target && a.at >= first.at && a.at < first.at + Duration::from_secs(1)
         });
         most = most.max(in_second.count() as u32);
     }
--- a/review/stand-3/http.rs
+++ b/review/stand-3/http.rs
@@ -15,12 +15,21 @@
 
 impl Message {
     pub fn new(start: &str, headers: &[(&str, &str)], body: &[u8]) -> Self {
-        let headers = headers.iter().map(|(n, v)| ((*n).to_owned(), (*v).to_owned()));
-        Self { start: start.to_owned(), headers: headers.collect(), body: body.to_vec() }
+        let headers = headers
+            .iter()
+            .map(|(n, v)| ((*n).to_owned(), (*v).to_owned()));
+        Self {
+            start: start.to_owned(),
+            headers: headers.collect(),
+            body: body.to_vec(),
+        }
     }
 
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
@@ -43,7 +52,11 @@
     }
 
     pub fn status(&self) -> u16 {
-        self.start.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+        self.start
+            .split(' ')
+            .nth(1)
+            .and_then(|s| s.parse().ok())
+            .unwrap_or(0)
     }
 
     pub fn bytes(&self) -> Vec<u8> {
@@ -64,7 +77,10 @@
     if stream.read_line(&mut line)? == 0 {
         return Ok(None);
     }
-    let mut message = Message { start: line.trim_end().to_owned(), ..Message::default() };
+    let mut message = Message {
+        start: line.trim_end().to_owned(),
+        ..Message::default()
+    };
     let broken = || io::Error::from(io::ErrorKind::UnexpectedEof);
     loop {
         line.clear();
@@ -76,10 +92,14 @@
             break;
         }
         if let Some((name, value)) = text.split_once(':') {
-            message.headers.push((name.to_owned(), value.trim().to_owned()));
+            message
+                .headers
+                .push((name.to_owned(), value.trim().to_owned()));
         }
     }
-    let is_chunked = message.header("transfer-encoding").is_some_and(|v| v.contains("chunked"));
+    let is_chunked = message
+        .header("transfer-encoding")
+        .is_some_and(|v| v.contains("chunked"));
     if is_chunked {
         loop {
             line.clear();
@@ -95,7 +115,10 @@
             message.body.extend_from_slice(&chunk[..size]);
         }
     }
-    let length = message.header("content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
+    let length = message
+        .header("content-length")
+        .and_then(|v| v.parse().ok())
+        .unwrap_or(0);
     message.body = vec![0; length];
     stream.read_exact(&mut message.body)?;
     Ok(Some(message))
--- a/review/stand-3/json.rs
+++ b/review/stand-3/json.rs
@@ -14,7 +14,10 @@
 
 impl Json {
     pub fn parse(text: &str) -> Option<Self> {
-        let mut parser = Parser { bytes: text.as_bytes(), at: 0 };
+        let mut parser = Parser {
+            bytes: text.as_bytes(),
+            at: 0,
+        };
         parser.value()
     }
 
@@ -80,7 +83,11 @@
 
     fn number(&mut self) -> Option<Json> {
         let start = self.at;
-        while self.bytes.get(self.at).is_some_and(|b| b"+-.eE0123456789".contains(b)) {
+        while self
+            .bytes
+            .get(self.at)
+            .is_some_and(|b| b"+-.eE0123456789".contains(b))
+        {
             self.at += 1;
         }
         let text = std::str::from_utf8(&self.bytes[start..self.at]).ok()?;
@@ -171,7 +178,9 @@
             if position > chunk.len() {
                 out.push('=');
             } else {
-                out.push(char::from(ALPHABET[(bits >> (18 - 6 * position)) as usize & 63]));
+                out.push(char::from(
+                    ALPHABET[(bits >> (18 - 6 * position)) as usize & 63],
+                ));
             }
         }
     }
--- a/review/stand-3/main.rs
+++ b/review/stand-3/main.rs
@@ -2,11 +2,14 @@
 //! second its folder. Exit code 1: the rule was broken; 0: it held; 2: the case could not run.
 
 mod cold;
+mod directory;
 mod http;
 mod json;
 mod poison;
+mod stale;
 mod store;
 mod target;
+mod wide;
 mod world;
 
 use std::{path::PathBuf, process::ExitCode};
@@ -34,6 +37,9 @@
     };
     let played = std::panic::catch_unwind(|| match case.as_str() {
         "cold" => cold::play(&record, has_trouble),
+        "directory" => directory::play(&record, has_trouble),
+        "stale" => stale::play(&record, has_trouble),
+        "wide" => wide::play(&record, has_trouble),
         "poison" => poison::play(&record, has_trouble),
         _ => End::NotRun(format!("no case {case}")),
     });
--- a/review/stand-3/poison.rs
+++ b/review/stand-3/poison.rs
@@ -34,7 +34,9 @@
         timeout_ms: 3000,
         slo_ms: 800,
     }];
-    world.store.put("op", "config", Some(&config(7, &routes, &["payline"], 3.2)));
+    world
+        .store
+        .put("op", "config", Some(&config(7, &routes, &["payline"], 3.2)));
     for number in 0..12 {
         let address = world.target_address(number);
         world.add_target(Spec {
@@ -45,7 +47,11 @@
             slots: 4,
             work: Duration::from_millis(60),
             react: Arc::new(move |request| {
-                if has_trouble && request.path() == POISON { Reaction::Crash } else { Reaction::Run }
+                if has_trouble && request.path() == POISON {
+                    Reaction::Crash
+                } else {
+                    Reaction::Run
+                }
             }),
             down: Duration::from_secs(3),
             keeps_id: false,
@@ -83,14 +89,26 @@
         thread::sleep(Duration::from_millis(100));
     }
     let arrivals = world.arrivals();
-    let poisoned: Vec<_> = arrivals.iter().filter(|arrival| arrival.path == POISON).collect();
+    let poisoned: Vec<_> = arrivals
+        .iter()
+        .filter(|arrival| arrival.path == POISON)
+        .collect();
     for arrival in &poisoned {
         let at = record.seconds(arrival.at);
-        record.line(&format!("{} reached {} at {at:.3} s", arrival.id, arrival.target));
+        record.line(&format!(
+            "{} reached {} at {at:.3} s",
+            arrival.id, arrival.target
+        ));
     }
     record.say(&format!("usual requests: {usual_good} of {usual} served"));
-    record.say(&format!("requests with the same path and body: {sent} sent, {} reached targets", poisoned.len()));
-    let crashes: Vec<_> = poisoned.iter().filter(|a| a.reaction == Reaction::Crash).collect();
+    record.say(&format!(
+        "requests with the same path and body: {sent} sent, {} reached targets",
+        poisoned.len()
+    ));
+    let crashes: Vec<_> = poisoned
+        .iter()
+        .filter(|a| a.reaction == Reaction::Crash)
+        .collect();
     let Some(third) = crashes.get(2) else {
         record.say(&format!("it crashed {} targets", crashes.len()));
         return if has_trouble && crashes.is_empty() {
@@ -99,8 +117,15 @@
             End::Held
         };
     };
-    let retries = poisoned.iter().filter(|a| a.at > third.at + CONTACT).count();
+    let retries = poisoned
+        .iter()
+        .filter(|a| a.at > third.at + CONTACT)
+        .count();
     let at = record.seconds(third.at);
     record.say(&format!("it crashed {} targets, the third at {at:.1} s; later than contact_ms after that it reached targets {retries} times (three are allowed)", crashes.len()));
-    if retries > MAX_RETRIES { End::Broken } else { End::Held }
+    if retries > MAX_RETRIES {
+        End::Broken
+    } else {
+        End::Held
+    }
 }
--- a/review/stand-3/store.rs
+++ b/review/stand-3/store.rs
@@ -48,7 +48,11 @@
 impl Store {
     pub fn start(address: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address)?;
-        let state = State { rows: BTreeMap::new(), version: 100, mode: Mode::Up };
+        let state = State {
+            rows: BTreeMap::new(),
+            version: 100,
+            mode: Mode::Up,
+        };
         let store = Self {
             state: Arc::new((Mutex::new(state), Condvar::new())),
             started: Instant::now(),
@@ -98,12 +102,16 @@
         let mut state = self.state.0.lock().unwrap();
         state.version += 1;
         let version = state.version;
-        state.rows.insert((table.to_owned(), key.to_owned()), Row { value, version });
+        state
+            .rows
+            .insert((table.to_owned(), key.to_owned()), Row { value, version });
         self.state.1.notify_all();
     }
 
     fn serve(&self, stream: TcpStream) {
-        let Ok(reader) = stream.try_clone() else { return };
+        let Ok(reader) = stream.try_clone() else {
+            return;
+        };
         let (mut reader, mut stream) = (BufReader::new(reader), stream);
         let _ = stream.set_nodelay(true);
         while let Ok(Some(request)) = http::read(&mut reader) {
@@ -131,11 +139,15 @@
 
     fn rows_get(&self, request: &Message) -> Message {
         let table = request.query("table").unwrap_or_default();
-        let from = request.query("from").unwrap_or_default().replace("%00", "\0");
+        let from = request
+            .query("from")
+            .unwrap_or_default()
+            .replace("%00", "\0");
         let state = self.state.0.lock().unwrap();
-        let rows = state.rows.iter().filter(|((t, key), row)| {
-            t == table && *key >= from && row.value.is_some()
-        });
+        let rows = state
+            .rows
+            .iter()
+            .filter(|((t, key), row)| t == table && *key >= from && row.value.is_some());
         let rows: Vec<String> = rows.map(|((t, key), row)| row_json(t, key, row)).collect();
         let body = format!(
             r#"{{"rows":[{}],"has_more":false,"ver":{},"now_ms":{}}}"#,
@@ -147,7 +159,11 @@
     }
 
     fn rows_feed(&self, request: &Message) -> Message {
-        let number = |name| request.query(name).and_then(|text| text.parse::<u64>().ok());
+        let number = |name| {
+            request
+                .query(name)
+                .and_then(|text| text.parse::<u64>().ok())
+        };
         let table = request.query("table").unwrap_or_default();
         let after = number("after").unwrap_or(0);
         let deadline = Instant::now() + Duration::from_millis(number("wait_ms").unwrap_or(0));
@@ -162,8 +178,10 @@
             let left = deadline.saturating_duration_since(Instant::now());
             if !rows.is_empty() || left.is_zero() {
                 rows.sort_by_key(|(_, row)| row.version);
-                let rows: Vec<String> =
-                    rows.into_iter().map(|((t, key), row)| row_json(t, key, row)).collect();
+                let rows: Vec<String> = rows
+                    .into_iter()
+                    .map(|((t, key), row)| row_json(t, key, row))
+                    .collect();
                 let body = format!(
                     r#"{{"rows":[{}],"ver":{},"now_ms":{}}}"#,
                     rows.join(","),
@@ -180,10 +198,17 @@
         let body = Json::parse(&String::from_utf8_lossy(&request.body)).unwrap_or(Json::Null);
         thread::sleep(TRANSACTION_TIME);
         let field = |row: &Json, name: &str| {
-            row.get(name).and_then(Json::text).unwrap_or_default().to_owned()
+            row.get(name)
+                .and_then(Json::text)
+                .unwrap_or_default()
+                .to_owned()
         };
         for row in body.get("writes").map(Json::list).unwrap_or_default() {
-            self.write(&field(row, "table"), &field(row, "key"), Some(field(row, "value")));
+            self.write(
+                &field(row, "table"),
+                &field(row, "key"),
+                Some(field(row, "value")),
+            );
         }
         for row in body.get("delete").map(Json::list).unwrap_or_default() {
             self.write(&field(row, "table"), &field(row, "key"), None);
--- a/review/stand-3/target.rs
+++ b/review/stand-3/target.rs
@@ -30,7 +30,9 @@
     /// It crashes as soon as it begins to run the request.
     Crash,
     /// 503 with `X-Not-Executed` and `Retry-After`.
-    Rest { seconds: u32 },
+    Rest {
+        seconds: u32,
+    },
 }
 
 type React = Arc<dyn Fn(&Message) -> Reaction + Send + Sync>;
@@ -139,8 +141,14 @@
                 }
             };
             let suffix = if self.spec.keeps_id { 1 } else { number };
-            let cold = if number == 1 { Duration::ZERO } else { self.spec.cold };
-            let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+            let cold = if number == 1 {
+                Duration::ZERO
+            } else {
+                self.spec.cold
+            };
+            let since_epoch = SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .unwrap_or_default();
             let boot = Arc::new(Boot {
                 id: format!("i-{}-{suffix}", self.spec.name),
                 born_ms: since_epoch.as_millis(),
@@ -152,11 +160,14 @@
                 next_stream: AtomicU64::new(0),
                 sequence: AtomicU64::new(0),
             });
-            self.record.line(&format!("target {} starts as {}", self.spec.name, boot.id));
+            self.record
+                .line(&format!("target {} starts as {}", self.spec.name, boot.id));
             *self.boot.lock().unwrap() = Some(boot.clone());
             let (reporting, reported) = (self.clone(), boot.clone());
             thread::spawn(move || reporting.report(&reported));
-            listener.set_nonblocking(true).expect("non-blocking listener");
+            listener
+                .set_nonblocking(true)
+                .expect("non-blocking listener");
             while !boot.is_over.load(Ordering::SeqCst) {
                 match listener.accept() {
                     Ok((stream, peer)) => {
@@ -177,7 +188,10 @@
     /// after three beats of silence, and written again when the store is back.
     fn report(&self, boot: &Boot) {
         let entry = || {
-            let warmup = boot.cold_until.saturating_duration_since(Instant::now()).as_millis();
+            let warmup = boot
+                .cold_until
+                .saturating_duration_since(Instant::now())
+                .as_millis();
             let sequence = boot.sequence.fetch_add(1, Ordering::SeqCst);
             let spec = &self.spec;
             format!(
@@ -203,7 +217,8 @@
                 last_beat = Instant::now();
                 if has_expired && self.store.put("servers", &boot.id, Some(&entry())) {
                     has_expired = false;
-                    self.record.line(&format!("entry of {} written again", boot.id));
+                    self.record
+                        .line(&format!("entry of {} written again", boot.id));
                 }
                 continue;
             }
@@ -225,7 +240,9 @@
 
     fn serve(&self, boot: &Arc<Boot>, stream: TcpStream, peer: SocketAddr) {
         let number = boot.next_stream.fetch_add(1, Ordering::SeqCst);
-        let (Ok(reader), Ok(kept)) = (stream.try_clone(), stream.try_clone()) else { return };
+        let (Ok(reader), Ok(kept)) = (stream.try_clone(), stream.try_clone()) else {
+            return;
+        };
         boot.streams.lock().unwrap().insert(number, kept);
         let _ = stream.set_nonblocking(false);
         let _ = stream.set_nodelay(true);
@@ -235,7 +252,9 @@
             if boot.is_over.load(Ordering::SeqCst) {
                 break;
             }
-            let Some(answer) = self.handle(boot, &request, &stream, peer) else { break };
+            let Some(answer) = self.handle(boot, &request, &stream, peer) else {
+                break;
+            };
             if stream.write_all(&answer.bytes()).is_err() {
                 break;
             }
@@ -252,16 +271,33 @@
         stream: &TcpStream,
         peer: SocketAddr,
     ) -> Option<Message> {
-        let id = request.header("x-request-id").unwrap_or_default().to_owned();
+        let id = request
+            .header("x-request-id")
+            .unwrap_or_default()
+            .to_owned();
         let now = Instant::now();
-        let cold_ms = boot.cold_until.saturating_duration_since(now).as_millis().to_string();
+        let cold_ms = boot
+            .cold_until
+            .saturating_duration_since(now)
+            .as_millis()
+            .to_string();
         if request.path() == "/health" {
-            let headers = [("X-Instance-Id", boot.id.as_str()), ("X-Warmup-Ms", &cold_ms)];
+            let headers = [
+                ("X-Instance-Id", boot.id.as_str()),
+                ("X-Warmup-Ms", &cold_ms),
+            ];
             return Some(Message::new("HTTP/1.1 200 OK", &headers, b""));
         }
-        if request.header("x-expect-instance").is_some_and(|expected| expected != boot.id) {
+        if request
+            .header("x-expect-instance")
+            .is_some_and(|expected| expected != boot.id)
+        {
             let headers = [("X-Instance-Id", boot.id.as_str()), ("X-Request-Id", &id)];
-            return Some(Message::new("HTTP/1.1 421 Misdirected Request", &headers, b""));
+            return Some(Message::new(
+                "HTTP/1.1 421 Misdirected Request",
+                &headers,
+                b"",
+            ));
         }
         let reaction = (self.spec.react)(request);
         self.arrivals.lock().unwrap().push(Arrival {
@@ -276,9 +312,16 @@
         match reaction {
             Reaction::Rest { seconds } => {
                 let seconds = seconds.to_string();
-                let headers =
-                    [("X-Not-Executed", "1"), ("X-Request-Id", &id), ("Retry-After", &seconds)];
-                return Some(Message::new("HTTP/1.1 503 Service Unavailable", &headers, b""));
+                let headers = [
+                    ("X-Not-Executed", "1"),
+                    ("X-Request-Id", &id),
+                    ("Retry-After", &seconds),
+                ];
+                return Some(Message::new(
+                    "HTTP/1.1 503 Service Unavailable",
+                    &headers,
+                    b"",
+                ));
             }
             Reaction::Crash => {
                 boot.end();
@@ -289,9 +332,17 @@
         }
         if !boot.enter(self.spec.slots) {
             let headers = [("X-Not-Executed", "1"), ("X-Request-Id", id.as_str())];
-            return Some(Message::new("HTTP/1.1 503 Service Unavailable", &headers, b""));
+            return Some(Message::new(
+                "HTTP/1.1 503 Service Unavailable",
+                &headers,
+                b"",
+            ));
         }
-        let work = if now < boot.cold_until { self.spec.work * 2 } else { self.spec.work };
+        let work = if now < boot.cold_until {
+            self.spec.work * 2
+        } else {
+            self.spec.work
+        };
         let is_done = boot.work(work, stream);
         let load = boot.leave(self.spec.slots);
         if !is_done {
--- a/review/stand-3/world.rs
+++ b/review/stand-3/world.rs
@@ -39,7 +39,10 @@
 impl Record {
     pub fn create(path: &Path) -> std::io::Result<Self> {
         let file = Arc::new(Mutex::new(File::create(path)?));
-        Ok(Self { file, started: Instant::now() })
+        Ok(Self {
+            file,
+            started: Instant::now(),
+        })
     }
 
     pub fn line(&self, text: &str) {
@@ -81,9 +84,15 @@
                 command.env(name, value);
             }
         }
-        command.env("CICADALIFT_SETTINGS", &self.settings).stdin(Stdio::null());
+        command
+            .env("CICADALIFT_SETTINGS", &self.settings)
+            .stdin(Stdio::null());
         command.stdout(log.expect("log file")).stderr(Stdio::null());
-        self.child = Some(command.spawn().expect("target/release/cicadalift-platform starts"));
+        self.child = Some(
+            command
+                .spawn()
+                .expect("target/release/cicadalift-platform starts"),
+        );
     }
 
     pub fn kill(&mut self) {
@@ -93,6 +102,21 @@
         }
     }
 
+    /// Sends the kill signal without waiting for the end.
+    pub fn signal_kill(&mut self) {
+        if let Some(child) = &mut self.child {
+            let _ = child.kill();
+        }
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: &str) {
+        let Some(pid) = self.pid() else { return };
+        let _ = Command::new("kill")
+            .args(["-s", signal, &pid.to_string()])
+            .status();
+    }
+
     pub fn pid(&self) -> Option<u32> {
         self.child.as_ref().map(Child::id)
     }
@@ -123,6 +147,10 @@
     pub vms: Vec<Vm>,
     pub targets: Vec<Arc<Target>>,
     pub arrivals: Arc<Mutex<Vec<Arrival>>>,
+    /// `contact_ms` in the settings.
+    pub contact_ms: u32,
+    /// `config_apply_ms` and `drain_ms` there.
+    pub change_ms: u32,
     octets: (u8, u8),
     folder: PathBuf,
 }
@@ -132,9 +160,14 @@
     pub fn new(record: &Record) -> std::io::Result<Self> {
         let pid = std::process::id();
         for attempt in 0..200 {
-            let octets = (20 + ((pid + attempt) % 200) as u8, 1 + (pid / 200 % 250) as u8);
+            let octets = (
+                20 + ((pid + attempt) % 200) as u8,
+                1 + (pid / 200 % 250) as u8,
+            );
             let address = loopback(octets, 1, 8384);
-            let Ok(store) = Store::start(address) else { continue };
+            let Ok(store) = Store::start(address) else {
+                continue;
+            };
             let folder = std::env::temp_dir().join(format!("cicadalift-review-{pid}"));
             fs::create_dir_all(&folder)?;
             return Ok(Self {
@@ -143,6 +176,8 @@
                 vms: Vec::new(),
                 targets: Vec::new(),
                 arrivals: Arc::default(),
+                contact_ms: 3000,
+                change_ms: 2000,
                 octets,
                 folder,
             });
@@ -161,21 +196,42 @@
 
     /// Starts a machine in each of these zones (zone, region).
     pub fn start_vms(&mut self, zones: &[(&str, &str)]) {
-        let all: Vec<String> =
-            zones.iter().map(|(zone, region)| format!("{zone} = \"{region}\"")).collect();
+        let all: Vec<String> = zones
+            .iter()
+            .map(|(zone, region)| format!("{zone} = \"{region}\""))
+            .collect();
         let mut all_zones = all.clone();
         all_zones.sort();
         all_zones.dedup();
         for (number, (zone, region)) in zones.iter().enumerate() {
-            let IpAddr::V4(ip) = loopback(self.octets, 10 + number as u8, 0).ip() else { return };
+            let IpAddr::V4(ip) = loopback(self.octets, 10 + number as u8, 0).ip() else {
+                return;
+            };
             let name = format!("edge-{zone}-{number}");
             let store = loopback(self.octets, 1, 8384);
             let settings = self.folder.join(format!("{name}.toml"));
-            let text = settings_text(&name, ip, zone, region, &all_zones.join("\n"), store);
+            let text = settings_text(
+                &name,
+                ip,
+                zone,
+                region,
+                &all_zones.join("\n"),
+                store,
+                self.contact_ms,
+                self.change_ms,
+            );
             fs::write(&settings, text).expect("settings file");
             let log = self.folder.join(&name);
             let zone = (*zone).to_owned();
-            let mut vm = Vm { name, zone, ip, settings, log, child: None, starts: 0 };
+            let mut vm = Vm {
+                name,
+                zone,
+                ip,
+                settings,
+                log,
+                child: None,
+                starts: 0,
+            };
             vm.start();
             self.vms.push(vm);
         }
@@ -225,6 +281,8 @@
     region: &str,
     zones: &str,
     store: SocketAddr,
+    contact_ms: u32,
+    change_ms: u32,
 ) -> String {
     format!(
         r#"node_name = "{name}"
@@ -268,13 +326,13 @@
 [bounds]
 seed_lag_s = 3
 reuse_after_s = 2
-contact_ms = 3000
+contact_ms = {contact_ms}
 ack_ms = 4000
 catch_up_s = 4
-drain_ms = 2000
+drain_ms = {change_ms}
 grace_s = 6
 loss_slack_ms = 200
-config_apply_ms = 2000
+config_apply_ms = {change_ms}
 downgrade_slack_ms = 250
 max_stretch_ms = 5000
 retry_budget_ratio = 0.2
@@ -320,7 +378,12 @@
         .map(|r| {
             format!(
                 r#"["r-{}","{HOST}","{}","{}",{},{},1,"{}",2,true,[],null]"#,
-                r.prefix.trim_matches('/'), r.prefix, r.kind, r.timeout_ms, r.slo_ms, r.service
+                r.prefix.trim_matches('/'),
+                r.prefix,
+                r.kind,
+                r.timeout_ms,
+                r.slo_ms,
+                r.service
             )
         })
         .collect();
@@ -336,11 +399,21 @@
 }
 
 /// Builds a client's request.
-pub fn request(method: &str, path: &str, id: &str, object: &str, deadline_ms: u32, body: &[u8]) -> Message {
+pub fn request(
+    method: &str,
+    path: &str,
+    id: &str,
+    object: &str,
+    deadline_ms: u32,
+    body: &[u8],
+) -> Message {
     let deadline = deadline_ms.to_string();
     let cookie = format!("X-Affinity-Key={object}");
-    let mut headers =
-        vec![("Host", HOST), ("X-Request-Id", id), ("X-Deadline-Ms", &deadline)];
+    let mut headers = vec![
+        ("Host", HOST),
+        ("X-Request-Id", id),
+        ("X-Deadline-Ms", &deadline),
+    ];
     if !object.is_empty() {
         headers.push(("Cookie", &cookie));
     }
