--- a/review/stand-3/http.rs
+++ b/review/stand-3/http.rs
@@ -33,10 +33,6 @@
         found.map(|(_, value)| value.as_str())
     }
 
-    pub fn method(&self) -> &str {
-        self.start.split(' ').next().unwrap_or_default()
-    }
-
     pub fn uri(&self) -> &str {
         self.start.split(' ').nth(1).unwrap_or_default()
     }
--- a/review/stand-3/main.rs
+++ b/review/stand-3/main.rs
@@ -9,10 +9,12 @@
 mod stale;
 mod store;
 mod target;
-mod wide;
 mod world;
 
-use std::{path::PathBuf, process::ExitCode};
+use {
+    std::{path::PathBuf, process::ExitCode, time::Duration},
+    target::Reaction,
+};
 
 /// How a case ended.
 pub enum End {
@@ -39,8 +41,18 @@
         "cold" => cold::play(&record, has_trouble),
         "directory" => directory::play(&record, has_trouble),
         "stale" => stale::play(&record, has_trouble),
-        "wide" => wide::play(&record, has_trouble),
-        "poison" => poison::play(&record, has_trouble),
+        "poison" => poison::play(
+            &record,
+            has_trouble,
+            Reaction::Crash,
+            Duration::from_secs(94),
+        ),
+        "midway" => poison::play(
+            &record,
+            has_trouble,
+            Reaction::CrashMidway,
+            Duration::from_secs(40),
+        ),
         _ => End::NotRun(format!("no case {case}")),
     });
     let end = played.unwrap_or_else(|_| End::NotRun("the case panicked".to_owned()));
--- a/review/stand-3/poison.rs
+++ b/review/stand-3/poison.rs
@@ -1,4 +1,4 @@
-//! A request that crashes each target that begins to run it, and comes again for a minute and a half.
+//! A request that crashes each target that runs it, and comes again and again.
 
 use {
     crate::{
@@ -16,13 +16,13 @@
 const POISON: &str = "/payout/batch-17";
 /// Time between two clients' requests with the same path and body.
 const INTERVAL: Duration = Duration::from_millis(3300);
-const PLAYED: Duration = Duration::from_secs(94);
 /// `contact_ms`
 const CONTACT: Duration = Duration::from_secs(3);
 /// "reaches targets in more than three retries"
 const MAX_RETRIES: usize = 3;
 
-pub fn play(record: &Record, has_trouble: bool) -> End {
+/// Plays the request for a time; `reaction` is how a target crashes.
+pub fn play(record: &Record, has_trouble: bool, reaction: Reaction, played: Duration) -> End {
     let mut world = match World::new(record) {
         Ok(world) => world,
         Err(error) => return End::NotRun(error.to_string()),
@@ -48,7 +48,7 @@
             work: Duration::from_millis(60),
             react: Arc::new(move |request| {
                 if has_trouble && request.path() == POISON {
-                    Reaction::Crash
+                    reaction
                 } else {
                     Reaction::Run
                 }
@@ -67,7 +67,7 @@
     let started = Instant::now();
     let mut next_poison = started;
     let (mut sent, mut usual, mut usual_good) = (0, 0, 0);
-    while started.elapsed() < PLAYED {
+    while started.elapsed() < played {
         if Instant::now() >= next_poison {
             let vm = &world.vms[sent % world.vms.len()];
             let id = format!("poison-{sent}");
@@ -107,7 +107,7 @@
     ));
     let crashes: Vec<_> = poisoned
         .iter()
-        .filter(|a| a.reaction == Reaction::Crash)
+        .filter(|a| a.reaction != Reaction::Run)
         .collect();
     let Some(third) = crashes.get(2) else {
         record.say(&format!("it crashed {} targets", crashes.len()));
--- a/review/stand-3/target.rs
+++ b/review/stand-3/target.rs
@@ -29,10 +29,8 @@
     Run,
     /// It crashes as soon as it begins to run the request.
     Crash,
-    /// 503 with `X-Not-Executed` and `Retry-After`.
-    Rest {
-        seconds: u32,
-    },
+    /// It crashes while it runs the request, when half of its answer is sent.
+    CrashMidway,
 }
 
 type React = Arc<dyn Fn(&Message) -> Reaction + Send + Sync>;
@@ -65,7 +63,6 @@
     pub path: String,
     pub reaction: Reaction,
     pub is_cold: bool,
-    pub peer: SocketAddr,
 }
 
 #[derive(Default)]
@@ -170,9 +167,9 @@
                 .expect("non-blocking listener");
             while !boot.is_over.load(Ordering::SeqCst) {
                 match listener.accept() {
-                    Ok((stream, peer)) => {
+                    Ok((stream, _)) => {
                         let (target, boot) = (self.clone(), boot.clone());
-                        thread::spawn(move || target.serve(&boot, stream, peer));
+                        thread::spawn(move || target.serve(&boot, stream));
                     }
                     Err(_) => thread::sleep(POLL),
                 }
@@ -238,7 +235,7 @@
         }
     }
 
-    fn serve(&self, boot: &Arc<Boot>, stream: TcpStream, peer: SocketAddr) {
+    fn serve(&self, boot: &Arc<Boot>, stream: TcpStream) {
         let number = boot.next_stream.fetch_add(1, Ordering::SeqCst);
         let (Ok(reader), Ok(kept)) = (stream.try_clone(), stream.try_clone()) else {
             return;
@@ -252,7 +249,7 @@
             if boot.is_over.load(Ordering::SeqCst) {
                 break;
             }
-            let Some(answer) = self.handle(boot, &request, &stream, peer) else {
+            let Some(answer) = self.handle(boot, &request, &stream) else {
                 break;
             };
             if stream.write_all(&answer.bytes()).is_err() {
@@ -264,13 +261,7 @@
     }
 
     /// Returns the answer, or `None` if the connection ends without one.
-    fn handle(
-        &self,
-        boot: &Arc<Boot>,
-        request: &Message,
-        stream: &TcpStream,
-        peer: SocketAddr,
-    ) -> Option<Message> {
+    fn handle(&self, boot: &Arc<Boot>, request: &Message, stream: &TcpStream) -> Option<Message> {
         let id = request
             .header("x-request-id")
             .unwrap_or_default()
@@ -307,28 +298,14 @@
             path: request.path().to_owned(),
             reaction,
             is_cold: now < boot.cold_until,
-            peer,
         });
         match reaction {
-            Reaction::Rest { seconds } => {
-                let seconds = seconds.to_string();
-                let headers = [
-                    ("X-Not-Executed", "1"),
-                    ("X-Request-Id", &id),
-                    ("Retry-After", &seconds),
-                ];
-                return Some(Message::new(
-                    "HTTP/1.1 503 Service Unavailable",
-                    &headers,
-                    b"",
-                ));
-            }
             Reaction::Crash => {
                 boot.end();
                 boot.close_streams();
                 return None;
             }
-            Reaction::Run => {}
+            Reaction::Run | Reaction::CrashMidway => {}
         }
         if !boot.enter(self.spec.slots) {
             let headers = [("X-Not-Executed", "1"), ("X-Request-Id", id.as_str())];
@@ -356,7 +333,16 @@
             ("Keep-Alive", "timeout=10"),
         ];
         let body = format!("answer to {id}");
-        Some(Message::new("HTTP/1.1 200 OK", &headers, body.as_bytes()))
+        let answer = Message::new("HTTP/1.1 200 OK", &headers, body.as_bytes());
+        if reaction == Reaction::CrashMidway {
+            let bytes = answer.bytes();
+            let _ = (&*stream).write_all(&bytes[..bytes.len() - body.len() / 2]);
+            thread::sleep(POLL);
+            boot.end();
+            boot.close_streams();
+            return None;
+        }
+        Some(answer)
     }
 }
 
