--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -4,4 +4,4 @@
 folder=$(pwd)
 cd ../.. || exit 2
 [ -x target/release/cicadalift-platform ] && [ -x target/review-3/review-3 ] || exit 2
-exec target/review-3/review-3 cold "$folder"
+exec target/review-3/review-3 directory "$folder"
--- a/review/stand-3/directory.rs
+++ b/review/stand-3/directory.rs
@@ -42,7 +42,7 @@
     }];
     world
         .store
-        .put("op", "config", Some(&config(7, &routes, &["bibdesk"], 3.2)));
+        .put("op", "config", &config(7, &routes, &["bibdesk"], 3.2));
     for number in 0..6 {
         let address = world.target_address(number);
         world.add_target(Spec {
@@ -54,9 +54,6 @@
             work: Duration::from_millis(40),
             react: Arc::new(|_| Reaction::Run),
             down: Duration::from_secs(3),
-            keeps_id: false,
-            cold: Duration::from_secs(3),
-            back_after: Duration::ZERO,
         });
     }
     let zones: Vec<(&str, &str)> = (0..VMS).map(|number| ZONES[number % 6]).collect();
--- a/review/stand-3/main.rs
+++ b/review/stand-3/main.rs
@@ -1,8 +1,8 @@
 //! Stand-ins and checks of the cases in `review/11` and on. The first argument names the case, the
 //! second its folder. Exit code 1: the rule was broken; 0: it held; 2: the case could not run.
 
-mod cold;
 mod directory;
+mod heads;
 mod http;
 mod json;
 mod poison;
@@ -12,6 +12,7 @@
 mod world;
 
 use {
+    poison::Plan,
     std::{path::PathBuf, process::ExitCode, time::Duration},
     target::Reaction,
 };
@@ -38,20 +39,34 @@
         }
     };
     let played = std::panic::catch_unwind(|| match case.as_str() {
-        "cold" => cold::play(&record, has_trouble),
         "directory" => directory::play(&record, has_trouble),
+        "heads" => heads::play(&record, has_trouble),
         "stale" => stale::play(&record, has_trouble),
         "poison" => poison::play(
             &record,
             has_trouble,
-            Reaction::Crash,
-            Duration::from_secs(94),
+            &Plan {
+                reaction: Reaction::Crash,
+                played: Duration::from_secs(94),
+                machines: 6,
+                copies: 1,
+                interval: Duration::from_millis(3300),
+                sends: usize::MAX,
+                vms: 6,
+            },
         ),
         "midway" => poison::play(
             &record,
             has_trouble,
-            Reaction::CrashMidway,
-            Duration::from_secs(40),
+            &Plan {
+                reaction: Reaction::CrashMidway,
+                played: Duration::from_secs(40),
+                machines: 6,
+                copies: 1,
+                interval: Duration::from_millis(3300),
+                sends: usize::MAX,
+                vms: 6,
+            },
         ),
         _ => End::NotRun(format!("no case {case}")),
     });
--- a/review/stand-3/poison.rs
+++ b/review/stand-3/poison.rs
@@ -14,15 +14,26 @@
 };
 
 const POISON: &str = "/payout/batch-17";
-/// Time between two clients' requests with the same path and body.
-const INTERVAL: Duration = Duration::from_millis(3300);
 /// `contact_ms`
 const CONTACT: Duration = Duration::from_secs(3);
 /// "reaches targets in more than three retries"
 const MAX_RETRIES: usize = 3;
 
-/// Plays the request for a time; `reaction` is how a target crashes.
-pub fn play(record: &Record, has_trouble: bool, reaction: Reaction, played: Duration) -> End {
+/// How the request comes, and how a target crashes.
+pub struct Plan {
+    pub reaction: Reaction,
+    pub played: Duration,
+    /// Machines that the caller uses, and how many requests it sends at once.
+    pub machines: usize,
+    pub copies: usize,
+    /// Time between two sends.
+    pub interval: Duration,
+    pub sends: usize,
+    pub vms: usize,
+}
+
+pub fn play(record: &Record, has_trouble: bool, plan: &Plan) -> End {
+    let reaction = plan.reaction;
     let mut world = match World::new(record) {
         Ok(world) => world,
         Err(error) => return End::NotRun(error.to_string()),
@@ -36,7 +47,7 @@
     }];
     world
         .store
-        .put("op", "config", Some(&config(7, &routes, &["payline"], 3.2)));
+        .put("op", "config", &config(7, &routes, &["payline"], 3.2));
     for number in 0..12 {
         let address = world.target_address(number);
         world.add_target(Spec {
@@ -54,12 +65,10 @@
                 }
             }),
             down: Duration::from_secs(3),
-            keeps_id: false,
-            cold: Duration::from_secs(3),
-            back_after: Duration::ZERO,
         });
     }
-    world.start_vms(&ZONES);
+    let zones: Vec<(&str, &str)> = (0..plan.vms).map(|number| ZONES[number % 6]).collect();
+    world.start_vms(&zones);
     if !world.wait_until_ready() {
         return End::NotRun("the machines did not get ready".to_owned());
     }
@@ -67,16 +76,33 @@
     let started = Instant::now();
     let mut next_poison = started;
     let (mut sent, mut usual, mut usual_good) = (0, 0, 0);
-    while started.elapsed() < played {
-        if Instant::now() >= next_poison {
-            let vm = &world.vms[sent % world.vms.len()];
-            let id = format!("poison-{sent}");
-            let message = request("POST", POISON, &id, "17", 3000, b"batch 17");
-            let answer = http::send(vm.front(), &message, Duration::from_secs(4));
-            let told = answer.map_or_else(|e| e.to_string(), |a| a.status().to_string());
-            record.line(&format!("client sent {id} to {}: answered {told}", vm.name));
-            sent += 1;
-            next_poison += INTERVAL;
+    while started.elapsed() < plan.played {
+        if Instant::now() >= next_poison && sent < plan.sends * plan.copies {
+            let clients: Vec<_> = (0..plan.copies)
+                .map(|_| {
+                    // Machines of the caller's zone are six apart.
+                    let number = if plan.copies > 1 {
+                        6 * (sent % plan.machines)
+                    } else {
+                        sent % plan.machines
+                    };
+                    let vm = &world.vms[number];
+                    let (front, name, record) = (vm.front(), vm.name.clone(), record.clone());
+                    let id = format!("poison-{sent}");
+                    sent += 1;
+                    thread::spawn(move || {
+                        let message = request("POST", POISON, &id, "", 3000, b"batch 17");
+                        let answer = http::send(front, &message, Duration::from_secs(4));
+                        let told =
+                            answer.map_or_else(|e| e.to_string(), |a| a.status().to_string());
+                        record.line(&format!("client sent {id} to {name}: answered {told}"));
+                    })
+                })
+                .collect();
+            for client in clients {
+                let _ = client.join();
+            }
+            next_poison += plan.interval;
         }
         // The usual requests of other clients.
         let vm = &world.vms[usual % world.vms.len()];
--- a/review/stand-3/stale.rs
+++ b/review/stand-3/stale.rs
@@ -41,7 +41,7 @@
     };
     let first = config(7, &[route("/bib/")], &["bibdesk"], 3.2);
     let second = config(9, &[route("/bib/"), route("/added/")], &["bibdesk"], 3.2);
-    world.store.put("op", "config", Some(&first));
+    world.store.put("op", "config", &first);
     for number in 0..6 {
         let address = world.target_address(number);
         world.add_target(Spec {
@@ -53,9 +53,6 @@
             work: Duration::from_millis(40),
             react: Arc::new(|_| Reaction::Run),
             down: Duration::from_secs(3),
-            keeps_id: false,
-            cold: Duration::from_secs(3),
-            back_after: Duration::ZERO,
         });
     }
     let zones: Vec<(&str, &str)> = (0..VMS).map(|number| ZONES[number % 6]).collect();
@@ -73,7 +70,7 @@
         record.line("all machines but one are silent");
     }
     thread::sleep(Duration::from_millis(100));
-    world.store.put("op", "config", Some(&second));
+    world.store.put("op", "config", &second);
     let acked = Instant::now();
     record.line("r9, which adds the route /added/, is acknowledged");
     let answers: Arc<Mutex<Vec<(Duration, u16)>>> = Arc::default();
--- a/review/stand-3/store.rs
+++ b/review/stand-3/store.rs
@@ -15,14 +15,6 @@
     },
 };
 
-/// How the store answers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Mode {
-    Up,
-    /// 503 to every call: nothing was done.
-    Busy,
-}
-
 #[derive(Debug, Clone)]
 struct Row {
     value: Option<String>,
@@ -32,7 +24,6 @@
 struct State {
     rows: BTreeMap<(String, String), Row>,
     version: u64,
-    mode: Mode,
 }
 
 /// A running store. Clones share its rows.
@@ -51,7 +42,6 @@
         let state = State {
             rows: BTreeMap::new(),
             version: 100,
-            mode: Mode::Up,
         };
         let store = Self {
             state: Arc::new((Mutex::new(state), Condvar::new())),
@@ -67,26 +57,13 @@
         Ok(store)
     }
 
-    pub fn set_mode(&self, mode: Mode) {
-        self.state.0.lock().unwrap().mode = mode;
-        self.state.1.notify_all();
-    }
-
-    pub fn is_up(&self) -> bool {
-        self.state.0.lock().unwrap().mode == Mode::Up
-    }
-
-    /// Writes or deletes a row for the operator or a target. Returns false if the store is away.
-    pub fn put(&self, table: &str, key: &str, value: Option<&str>) -> bool {
-        if self.state.0.lock().unwrap().mode != Mode::Up {
-            return false;
-        }
+    /// Writes a row for the operator or a target.
+    pub fn put(&self, table: &str, key: &str, value: &str) {
         thread::sleep(TRANSACTION_TIME);
-        self.write(table, key, value.map(|value| base64(value.as_bytes())));
-        true
+        self.write(table, key, Some(base64(value.as_bytes())));
     }
 
-    /// Removes a row whose lease has run out, also while the store is away.
+    /// Removes a row whose lease has run out.
     pub fn expire(&self, table: &str, key: &str) {
         let is_there = {
             let state = self.state.0.lock().unwrap();
@@ -122,9 +99,6 @@
     }
 
     fn answer(&self, request: &Message) -> Message {
-        if self.state.0.lock().unwrap().mode == Mode::Busy {
-            return with_era("HTTP/1.1 503 Service Unavailable", "");
-        }
         match request.path() {
             "/api/rows-get" => self.rows_get(request),
             "/api/rows-feed" => self.rows_feed(request),
@@ -169,9 +143,6 @@
         let deadline = Instant::now() + Duration::from_millis(number("wait_ms").unwrap_or(0));
         let mut state = self.state.0.lock().unwrap();
         loop {
-            if state.mode == Mode::Busy {
-                return with_era("HTTP/1.1 503 Service Unavailable", "");
-            }
             let changed = state.rows.iter();
             let changed = changed.filter(|((t, _), row)| t == table && row.version > after);
             let mut rows: Vec<_> = changed.collect();
--- a/review/stand-3/target.rs
+++ b/review/stand-3/target.rs
@@ -46,12 +46,6 @@
     pub react: React,
     /// Time after a crash until the target is back.
     pub down: Duration,
-    /// Whether it starts again under the identifier that it had.
-    pub keeps_id: bool,
-    /// Time for which it is cold after a start, the first one aside (`warmup_s`).
-    pub cold: Duration,
-    /// Its entry is written again so long after the store is back, if it has expired meanwhile.
-    pub back_after: Duration,
 }
 
 /// A request that reached a target and was not answered 421.
@@ -62,7 +56,6 @@
     pub id: String,
     pub path: String,
     pub reaction: Reaction,
-    pub is_cold: bool,
 }
 
 #[derive(Default)]
@@ -75,14 +68,11 @@
 struct Boot {
     id: String,
     born_ms: u128,
-    cold_until: Instant,
     is_over: AtomicBool,
     load: Mutex<Load>,
     freed: Condvar,
     streams: Mutex<HashMap<u64, TcpStream>>,
     next_stream: AtomicU64,
-    /// Time until which the target wants nothing, if it rests.
-    pub sequence: AtomicU64,
 }
 
 pub struct Target {
@@ -114,18 +104,13 @@
         target
     }
 
-    /// Crashes the target; it comes back after the time that its specification states.
-    pub fn crash(&self) {
+    pub fn stop(&self) {
+        self.is_stopped.store(true, Ordering::SeqCst);
         if let Some(boot) = self.boot.lock().unwrap().as_ref() {
             boot.end();
         }
     }
 
-    pub fn stop(&self) {
-        self.is_stopped.store(true, Ordering::SeqCst);
-        self.crash();
-    }
-
     fn run(self: &Arc<Self>) {
         for number in 1.. {
             if self.is_stopped.load(Ordering::SeqCst) {
@@ -137,25 +122,17 @@
                     Err(_) => thread::sleep(POLL),
                 }
             };
-            let suffix = if self.spec.keeps_id { 1 } else { number };
-            let cold = if number == 1 {
-                Duration::ZERO
-            } else {
-                self.spec.cold
-            };
             let since_epoch = SystemTime::now()
                 .duration_since(UNIX_EPOCH)
                 .unwrap_or_default();
             let boot = Arc::new(Boot {
-                id: format!("i-{}-{suffix}", self.spec.name),
+                id: format!("i-{}-{number}", self.spec.name),
                 born_ms: since_epoch.as_millis(),
-                cold_until: Instant::now() + cold,
                 is_over: AtomicBool::new(false),
                 load: Mutex::default(),
                 freed: Condvar::new(),
                 streams: Mutex::default(),
                 next_stream: AtomicU64::new(0),
-                sequence: AtomicU64::new(0),
             });
             self.record
                 .line(&format!("target {} starts as {}", self.spec.name, boot.id));
@@ -181,57 +158,21 @@
         }
     }
 
-    /// Keeps the entry of a boot in the store: written at the start, renewed by the beats, expired
-    /// after three beats of silence, and written again when the store is back.
+    /// Writes the entry of a boot at its start. It goes after three beats of silence.
     fn report(&self, boot: &Boot) {
-        let entry = || {
-            let warmup = boot
-                .cold_until
-                .saturating_duration_since(Instant::now())
-                .as_millis();
-            let sequence = boot.sequence.fetch_add(1, Ordering::SeqCst);
-            let spec = &self.spec;
-            format!(
-                r#"{{"address":"{}","info":{{"service":"{}","version":"v1","zone":"{}","slots":{}}},"status":{{"state":"ready","sequence":{sequence},"warmup_left_ms":{warmup}}},"born":{}}}"#,
-                spec.address, spec.service, spec.zone, spec.slots, boot.born_ms
-            )
-        };
-        let is_over = || boot.is_over.load(Ordering::SeqCst);
-        while !is_over() && !self.store.put("servers", &boot.id, Some(&entry())) {
-            thread::sleep(Duration::from_millis(200));
-        }
+        let spec = &self.spec;
+        let entry = format!(
+            r#"{{"address":"{}","info":{{"service":"{}","version":"v1","zone":"{}","slots":{}}},"status":{{"state":"ready","sequence":0,"warmup_left_ms":0}},"born":{}}}"#,
+            spec.address, spec.service, spec.zone, spec.slots, boot.born_ms
+        );
+        self.store.put("servers", &boot.id, &entry);
         self.record.line(&format!("entry of {} written", boot.id));
-        let mut last_beat = Instant::now();
-        let (mut has_expired, mut was_away) = (false, false);
-        while !is_over() {
+        while !boot.is_over.load(Ordering::SeqCst) {
             thread::sleep(POLL);
-            if self.store.is_up() {
-                if was_away {
-                    // The reports reach the store again a while after it is back.
-                    thread::sleep(self.spec.back_after);
-                }
-                was_away = false;
-                last_beat = Instant::now();
-                if has_expired && self.store.put("servers", &boot.id, Some(&entry())) {
-                    has_expired = false;
-                    self.record
-                        .line(&format!("entry of {} written again", boot.id));
-                }
-                continue;
-            }
-            was_away = true;
-            if !has_expired && last_beat.elapsed() >= BEAT * 3 {
-                self.store.expire("servers", &boot.id);
-                has_expired = true;
-                self.record.line(&format!("entry of {} expired", boot.id));
-            }
         }
-        // After a crash the entry goes after three beats of silence.
-        let id = boot.id.clone();
-        let is_reused = self.spec.keeps_id;
         thread::sleep(BEAT * 3);
-        if !is_reused && !self.is_stopped.load(Ordering::SeqCst) {
-            self.store.expire("servers", &id);
+        if !self.is_stopped.load(Ordering::SeqCst) {
+            self.store.expire("servers", &boot.id);
         }
     }
 
@@ -267,16 +208,8 @@
             .unwrap_or_default()
             .to_owned();
         let now = Instant::now();
-        let cold_ms = boot
-            .cold_until
-            .saturating_duration_since(now)
-            .as_millis()
-            .to_string();
         if request.path() == "/health" {
-            let headers = [
-                ("X-Instance-Id", boot.id.as_str()),
-                ("X-Warmup-Ms", &cold_ms),
-            ];
+            let headers = [("X-Instance-Id", boot.id.as_str()), ("X-Warmup-Ms", "0")];
             return Some(Message::new("HTTP/1.1 200 OK", &headers, b""));
         }
         if request
@@ -297,7 +230,6 @@
             id: id.clone(),
             path: request.path().to_owned(),
             reaction,
-            is_cold: now < boot.cold_until,
         });
         match reaction {
             Reaction::Crash => {
@@ -315,12 +247,7 @@
                 b"",
             ));
         }
-        let work = if now < boot.cold_until {
-            self.spec.work * 2
-        } else {
-            self.spec.work
-        };
-        let is_done = boot.work(work, stream);
+        let is_done = boot.work(self.spec.work, stream);
         let load = boot.leave(self.spec.slots);
         if !is_done {
             return None;
